--- /dev/null
+++ b/src/config/settings.h
@@ -0,0 +1,80 @@
+// The platform's settings file (JSON) and operators' settings (protobuf text).
+#ifndef TROUTLINK_CONFIG_SETTINGS_H_
+#define TROUTLINK_CONFIG_SETTINGS_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/micros.h"
+#include "config/operator.pb.h"
+
+namespace troutlink {
+
+struct Endpoint {
+  std::string host;  // IPv4
+  int port = 0;
+  std::string text;  // as written
+};
+
+struct Sibling {
+  std::string label;
+  std::string zone;
+  Endpoint mesh;
+};
+
+struct Team {
+  std::string name;
+  int64_t cpus = 0;      // guaranteed, thousandths
+  int64_t cpus_max = 0;  // 0: no limit
+  int64_t gpus = 0;
+  int64_t gpus_max = 0;
+};
+
+struct Objective {
+  std::string kind;
+  std::string job_class;
+  Micros within = 0;
+  double share = 0;
+};
+
+struct Settings {
+  std::string label;
+  std::string zone;
+  Endpoint serve;
+  Endpoint mesh;
+  std::vector<Sibling> siblings;
+  Endpoint cloud;
+  Endpoint state;
+  std::vector<std::string> zones;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  Micros report = 0;
+  Micros lease = 0;
+  Micros cancel = 0;
+  double state_rps = 0;
+  double write_rps = 0;
+  int64_t value_bytes = 0;
+  int txn_ops = 0;
+  double cloud_rps = 0;
+  Micros list_lag = 0;
+  double cores = 0;
+  double mem_mb = 0;
+  int fd_limit = 0;
+  Micros time_bound = 0;
+  OperatorSettings op;
+
+  // All controllers' labels in order; the index is a controller's own part.
+  std::vector<std::string> labels;
+  int own_part = 0;
+  int parts() const { return static_cast<int>(labels.size()); }
+};
+
+// Each returns nothing and one clear line in `*error` when the text is of no use.
+std::optional<Settings> ParseSettings(const std::string& json, std::string* error);
+bool ParseOperatorSettings(const std::string& text, OperatorSettings* out, std::string* error);
+std::optional<Endpoint> ParseEndpoint(const std::string& text);
+
+}  // namespace troutlink
+
+#endif  // TROUTLINK_CONFIG_SETTINGS_H_
--- /dev/null
+++ b/src/core/acceptance.cc
@@ -0,0 +1,328 @@
+// Acceptance: submissions, polls and cancellations.
+//
+// Nothing is told to a user that is not committed, and nothing is told that
+// may be older than what another node told: answers about unfinished jobs are
+// checked with the state service, many in one transaction that only compares.
+#include <algorithm>
+
+#include "base/ids.h"
+#include "core/core.h"
+
+namespace troutlink {
+
+namespace {
+constexpr Micros kCommitTimeout = 1500 * kMilli;
+constexpr Micros kQueryPatience = 1500 * kMilli;
+constexpr size_t kMostQueries = 2000;
+constexpr int kRetryAfter = 1;
+
+std::string_view StateName(JobState state) {
+  return state == JobState::kDone ? "done" : "cancelled";
+}
+}  // namespace
+
+std::string Core::NeverRuns(const JobSpec& spec) const {
+  const Team* team = FindTeam(spec.team);
+  if (team == nullptr) return "unknown team";
+  bool fits = false;
+  std::set<std::string> zones;
+  for (const MachineType& t : types_) {
+    if (!TypeAllowed(spec, t.name, false) || !spec.each.Fits(t.size)) continue;
+    if (spec.zone.empty()) {
+      fits = fits || !t.zones.empty() || s_.zones.empty();
+    } else {
+      fits = fits || std::find(t.zones.begin(), t.zones.end(), spec.zone) != t.zones.end();
+    }
+  }
+  if (!fits) return "no allowed machine type has room for a task";
+  int64_t n = spec.kind == JobKind::kService ? spec.tasks : 1;
+  if ((team->cpus_max > 0 && n * spec.each.cpus > team->cpus_max) ||
+      (team->gpus_max > 0 && n * spec.each.gpus > team->gpus_max)) {
+    return "more than the team's limit";
+  }
+  return "";
+}
+
+int Core::PartForJob(const JobSpec& spec) const {
+  // The part with most room: free cpus less what already waits there.
+  std::vector<double> room(parts_.size(), 0);
+  for (size_t p = 0; p < parts_.size(); ++p) {
+    double free = 0;
+    bool warm = false;
+    for (const auto& [name, m] : parts_[p].roster.machines) {
+      const MachineType* type = TypeOf(m.type);
+      if (type == nullptr || m.leaving || !m.helps.empty()) continue;
+      Amount left = type->size;
+      bool has_image = false;
+      for (const Attempt& a : m.attempts) {
+        if (const JobEntry* job = FindJob(a.job)) {
+          left -= job->record.spec.each;
+          has_image = has_image || job->record.spec.image == spec.image;
+        }
+      }
+      if (!TypeAllowed(spec, m.type, m.spot)) continue;
+      if (left.cpus > 0) free += static_cast<double>(left.cpus);
+      warm = warm || (has_image && spec.each.Fits(left));
+    }
+    room[p] = free;
+    // A replica starts at once only where its image is.
+    if (spec.kind == JobKind::kService && warm) room[p] += 64000;
+    // Nobody owns it at the moment: it will wait for a takeover.
+    if (parts_[p].claim_version == 0) room[p] -= 1e9;
+  }
+  for (const auto& [id, entry] : jobs_) {
+    const JobRecord& r = entry.record;
+    if (r.state != JobState::kOpen || r.part < 0 || r.part >= s_.parts()) continue;
+    const Part& p = parts_[static_cast<size_t>(r.part)];
+    int64_t waiting = r.spec.tasks;
+    auto run = runs_.find(id);
+    if (run != runs_.end()) {
+      waiting -= run->second.done + run->second.placed;
+    } else {
+      auto progress = p.progress.find(id);
+      if (progress != p.progress.end()) waiting -= static_cast<int64_t>(progress->second.size());
+      for (const auto& [name, m] : p.roster.machines) {
+        for (const Attempt& a : m.attempts) waiting -= a.job == id ? 1 : 0;
+      }
+    }
+    if (waiting > 0) {
+      room[static_cast<size_t>(r.part)] -= static_cast<double>(waiting * r.spec.each.cpus);
+    }
+  }
+  size_t best = StableHash(spec.id) % parts_.size();
+  for (size_t p = 0; p < parts_.size(); ++p) {
+    if (room[p] > room[best] + 1) best = p;
+  }
+  return static_cast<int>(best);
+}
+
+void Core::Submit(Micros now, const Request& request) {
+  ++counters_.submissions;
+  std::string why;
+  std::optional<JobSpec> spec = wire::DecodeSubmission(request.body, &why);
+  if (!spec) {
+    Answer(request.id, 400, wire::EncodeError(why));
+    return;
+  }
+  Query query;
+  query.kind = Query::Kind::kSubmit;
+  query.request = request.id;
+  query.id = spec->id;
+  query.since = now;
+  if (FindJob(spec->id) != nullptr) {
+    Poll(now, std::move(query));
+    return;
+  }
+  if (!synced_ || types_.empty() || !StateFresh(now)) {
+    ++counters_.refused;
+    Answer(request.id, 503, wire::EncodeError("not ready"), kRetryAfter);
+    return;
+  }
+  why = NeverRuns(*spec);
+  if (!why.empty()) {
+    Answer(request.id, 422, wire::EncodeError(why));
+    return;
+  }
+  if (!write_budget_.Take(now, 1)) {
+    ++counters_.refused;
+    Answer(request.id, 429, wire::EncodeError("too many submissions"), kRetryAfter);
+    return;
+  }
+  JobRecord record;
+  record.part = PartForJob(*spec);
+  record.submitted = WallNow(now);
+  record.spec = std::move(*spec);
+  StateTxn txn;
+  txn.conditions.emplace_back(JobKey(query.id), 0);
+  txn.writes.push_back({JobKey(query.id), EncodeJob(record), 0, false});
+  ++counters_.puts;
+  Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kCommitTimeout,
+       [this, query, write = txn.writes[0]](Micros t, int status, const std::string& body) {
+         std::optional<wire::TxnReply> reply;
+         if (status == 200 || status == 409) reply = wire::DecodeTxnReply(body);
+         if (reply) state_ok_ = t;
+         if (status == 200 && reply) {
+           ApplyPut(t, write.key, write.value, reply->revision);
+           ++counters_.accepted;
+           Answer(query.request, 201, wire::EncodeJobState(query.id, "queued"));
+         } else if (status == 409) {
+           // Known already: by a repeat, a late copy or another node.
+           FetchJob(t, query.id);
+           Poll(t, query);
+         } else {
+           if (status == 429) write_budget_.Drain(t);
+           ++counters_.refused;
+           Answer(query.request, 503, wire::EncodeError("not stored"), kRetryAfter);
+         }
+       });
+}
+
+void Core::Poll(Micros now, Query query) {
+  const JobEntry* entry = FindJob(query.id);
+  // Final states never change, so a copy of one is as good as the original.
+  if (entry != nullptr && entry->record.state != JobState::kOpen) {
+    AnswerQuery(now, query);
+    return;
+  }
+  if (!synced_ || queries_.size() >= kMostQueries) {
+    Answer(query.request, 503, wire::EncodeError("not ready"), kRetryAfter);
+    return;
+  }
+  queries_.push_back(std::move(query));
+}
+
+void Core::RunQueries(Micros now) {
+  // Those that waited too long get their final answer.
+  while (!queries_.empty() && now - queries_.front().since > kQueryPatience) {
+    Answer(queries_.front().request, 503, wire::EncodeError("state service does not answer"),
+           kRetryAfter);
+    queries_.pop_front();
+  }
+  if (query_busy_ || queries_.empty() || now < query_not_before_) return;
+  if (!state_budget_.Take(now, 1)) return;
+  StateTxn txn;
+  std::map<std::string, uint64_t> versions;
+  std::vector<Query> batch;
+  size_t most = static_cast<size_t>(4 * s_.txn_ops);
+  while (!queries_.empty() && versions.size() < most) {
+    Query q = std::move(queries_.front());
+    queries_.pop_front();
+    const JobEntry* entry = FindJob(q.id);
+    versions[q.id] = entry == nullptr ? 0 : entry->version;
+    batch.push_back(std::move(q));
+  }
+  for (const auto& [id, version] : versions) txn.conditions.emplace_back(JobKey(id), version);
+  query_busy_ = true;
+  Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kCommitTimeout,
+       [this, batch](Micros t, int status, const std::string& body) {
+         query_busy_ = false;
+         std::optional<wire::TxnReply> reply;
+         if (status == 200 || status == 409) reply = wire::DecodeTxnReply(body);
+         if (!reply) {
+           query_not_before_ = t + 50 * kMilli;
+           for (const Query& q : batch) {
+             Answer(q.request, 503, wire::EncodeError("state service does not answer"),
+                    kRetryAfter);
+           }
+           return;
+         }
+         state_ok_ = t;
+         std::set<std::string> stale;
+         for (const std::string& key : reply->failed) stale.insert(ParseKey(key).id);
+         for (const std::string& id : stale) FetchJob(t, id);
+         for (Query q : batch) {
+           // A failed transaction proves nothing of the keys it does not name.
+           if (status == 409 && stale.count(q.id) != 0) {
+             queries_.push_back(std::move(q));
+           } else if (status == 409 && stale.empty()) {
+             queries_.push_back(std::move(q));
+           } else {
+             AnswerQuery(t, q);
+           }
+         }
+       });
+}
+
+void Core::FetchJob(Micros now, const std::string& id) {
+  if (!state_budget_.Take(now, 1)) return;
+  // One key is a list that begins just before it; ids differ in their digits,
+  // so the prefix may hold longer ones too.
+  Send(Dest::kState, "", "GET", wire::ListTarget(JobKey(id), "", 1), "", kCommitTimeout,
+       [this](Micros t, int status, const std::string& body) {
+         std::optional<wire::StatePage> page;
+         if (status == 200) page = wire::DecodeList(body);
+         if (!page) return;
+         state_ok_ = t;
+         for (const StateItem& i : page->items) ApplyPut(t, i.key, i.value, i.version);
+       });
+}
+
+JobStatus Core::StatusOf(const std::string& id, const JobEntry& entry) const {
+  JobStatus out;
+  out.id = id;
+  const JobRecord& r = entry.record;
+  if (r.state != JobState::kOpen) {
+    out.state = StateName(r.state);
+    out.done = r.state == JobState::kDone ? r.spec.tasks : 0;
+    return out;
+  }
+  auto run = runs_.find(id);
+  if (run != runs_.end()) {
+    out.done = run->second.done;
+    out.running = run->second.placed;
+  } else if (r.part >= 0 && r.part < s_.parts()) {
+    const Part& p = parts_[static_cast<size_t>(r.part)];
+    auto progress = p.progress.find(id);
+    if (progress != p.progress.end()) out.done = static_cast<int64_t>(progress->second.size());
+    for (const auto& [name, m] : p.roster.machines) {
+      for (const Attempt& a : m.attempts) out.running += a.job == id ? 1 : 0;
+    }
+  }
+  out.state = out.running > 0 ? "running" : "queued";
+  return out;
+}
+
+void Core::AnswerQuery(Micros now, const Query& query) {
+  const JobEntry* entry = FindJob(query.id);
+  if (entry == nullptr) {
+    Answer(query.request, 404, wire::EncodeError("no such job"));
+    return;
+  }
+  switch (query.kind) {
+    case Query::Kind::kPoll:
+      Answer(query.request, 200, wire::EncodeJobStatus(StatusOf(query.id, *entry)));
+      return;
+    case Query::Kind::kSubmit:
+      Answer(query.request, 200,
+             wire::EncodeJobState(query.id, StatusOf(query.id, *entry).state));
+      return;
+    case Query::Kind::kAbort:
+      Abort(now, query);
+      return;
+  }
+}
+
+void Core::Abort(Micros now, Query query) {
+  const JobEntry* entry = FindJob(query.id);
+  if (entry == nullptr) {
+    Poll(now, std::move(query));  // 404 only once the state service confirms it
+    return;
+  }
+  if (entry->record.state != JobState::kOpen) {
+    Answer(query.request, 200,
+           wire::EncodeJobState(query.id, StateName(entry->record.state)));
+    return;
+  }
+  if (++query.tries > 4 || !StateFresh(now)) {
+    Answer(query.request, 503, wire::EncodeError("not stored"), kRetryAfter);
+    return;
+  }
+  write_budget_.Force(now, 1);
+  JobRecord record = entry->record;
+  record.state = JobState::kCancelled;
+  StateTxn txn;
+  txn.conditions.emplace_back(JobKey(query.id), entry->version);
+  txn.writes.push_back({JobKey(query.id), EncodeJob(record), 0, false});
+  ++counters_.puts;
+  Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kCommitTimeout,
+       [this, query, write = txn.writes[0]](Micros t, int status, const std::string& body) {
+         std::optional<wire::TxnReply> reply;
+         if (status == 200 || status == 409) reply = wire::DecodeTxnReply(body);
+         if (reply) state_ok_ = t;
+         if (status == 200 && reply) {
+           // Siblings must be able to hear of it before the user does.
+           accepted_cancels_.emplace_back(t, query.id);
+           next_gossip_ = t;
+           ApplyPut(t, write.key, write.value, reply->revision);
+           Answer(query.request, 200, wire::EncodeJobState(query.id, "cancelled"));
+         } else if (status == 409) {
+           FetchJob(t, query.id);
+           Poll(t, query);
+         } else {
+           if (status == 429) write_budget_.Drain(t);
+           Answer(query.request, 503, wire::EncodeError("not stored"), kRetryAfter);
+         }
+       });
+}
+
+}  // namespace troutlink
--- /dev/null
+++ b/src/core/budget.h
@@ -0,0 +1,46 @@
+// A token bucket on the steady clock.
+#ifndef TROUTLINK_CORE_BUDGET_H_
+#define TROUTLINK_CORE_BUDGET_H_
+
+#include <algorithm>
+
+#include "base/micros.h"
+
+namespace troutlink {
+
+class Budget {
+ public:
+  Budget(double per_second, double burst) : rate_(per_second), burst_(burst), have_(burst) {}
+
+  bool Take(Micros now, double n = 1, double reserve = 0) {
+    Refill(now);
+    if (have_ < n + reserve) return false;
+    have_ -= n;
+    return true;
+  }
+  // Takes what must go out anyway; the debt is worked off.
+  void Force(Micros now, double n = 1) {
+    Refill(now);
+    have_ = std::max(have_ - n, -burst_);
+  }
+  // Somebody else's use showed: act as if it were empty.
+  void Drain(Micros now) {
+    Refill(now);
+    have_ = std::min(have_, 0.0);
+  }
+  double have() const { return have_; }
+
+ private:
+  void Refill(Micros now) {
+    if (last_ != 0) have_ = std::min(burst_, have_ + rate_ * ToSeconds(now - last_));
+    last_ = now;
+  }
+  double rate_;
+  double burst_;
+  double have_;
+  Micros last_ = 0;
+};
+
+}  // namespace troutlink
+
+#endif  // TROUTLINK_CORE_BUDGET_H_
--- /dev/null
+++ b/src/core/core.cc
@@ -0,0 +1,233 @@
+#include "core/core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/ids.h"
+
+namespace troutlink {
+
+namespace {
+constexpr double kShareOfLimits = 0.9;
+}
+
+Core::Core(const Settings& settings, uint64_t boot, Micros now, Micros wall)
+    : s_(settings),
+      boot_(boot),
+      started_(now),
+      wall_offset_(wall - now),
+      parts_(static_cast<size_t>(settings.parts())),
+      health_(static_cast<int>(settings.op.machine_failures()),
+              static_cast<int>(settings.op.job_failures())),
+      write_budget_(settings.write_rps * kShareOfLimits / settings.parts(),
+                    settings.write_rps * 0.5),
+      state_budget_(settings.state_rps * kShareOfLimits / settings.parts(),
+                    settings.state_rps * 0.3),
+      cloud_budget_(settings.cloud_rps * kShareOfLimits / settings.parts(),
+                    std::max(1.0, settings.cloud_rps * 2 / settings.parts())) {
+  for (const Sibling& sibling : s_.siblings) peers_[sibling.label].label = sibling.label;
+}
+
+uint64_t Core::Send(Dest dest, std::string addr, std::string method, std::string target,
+                    std::string body, Micros timeout, Handler handler) {
+  uint64_t id = next_call_++;
+  pending_[id] = std::move(handler);
+  out_.calls.push_back({id, dest, std::move(addr), std::move(method), std::move(target),
+                        std::move(body), timeout});
+  switch (dest) {
+    case Dest::kState:
+    case Dest::kWatch: ++counters_.state_calls; break;
+    case Dest::kCloud: ++counters_.cloud_calls; break;
+    case Dest::kWorker: ++counters_.worker_calls; break;
+  }
+  return id;
+}
+
+void Core::Answer(uint64_t request, int status, std::string body, int retry_after_s) {
+  out_.replies.push_back({request, status, std::move(body), retry_after_s});
+}
+
+void Core::Log(LogLine::Level level, std::string text) {
+  out_.log.push_back({level, std::move(text)});
+}
+
+Outbox Core::Flush() { return std::exchange(out_, Outbox()); }
+
+const Core::JobEntry* Core::FindJob(const std::string& id) const {
+  auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+const Team* Core::FindTeam(const std::string& name) const {
+  for (const Team& t : s_.teams) {
+    if (t.name == name) return &t;
+  }
+  return nullptr;
+}
+
+// What every input may have made possible.
+void Core::After(Micros now) {
+  RunQueries(now);
+  if (synced_) RunRounds(now);
+}
+
+Outbox Core::HandleRequest(Micros now, const Request& request) {
+  std::string_view target = request.target;
+  target = target.substr(0, target.find('?'));
+  auto only = [&](std::string_view method) {
+    if (request.method == method) return true;
+    Answer(request.id, 405, wire::EncodeError("method not allowed"));
+    return false;
+  };
+  if (target == wire::kReportPath) {
+    if (only("POST")) OnReport(now, request.id, "", 0, request.body);
+  } else if (target == wire::kUpPath) {
+    if (only("GET")) {
+      if (Up(now)) {
+        Answer(request.id, 200, "");
+      } else {
+        Answer(request.id, 503, wire::EncodeError("not ready"), 1);
+      }
+    }
+  } else if (target == wire::kJobsPath) {
+    if (only("POST")) Submit(now, request);
+  } else if (target == "/metrics") {
+    if (only("GET")) Answer(request.id, 200, MetricsText(now));
+  } else if (std::optional<wire::JobPath> path = wire::ParseJobPath(target)) {
+    if (only(path->abort ? "POST" : "GET")) {
+      Query query;
+      query.kind = path->abort ? Query::Kind::kAbort : Query::Kind::kPoll;
+      query.request = request.id;
+      query.id = path->id;
+      query.since = now;
+      ++(path->abort ? counters_.aborts : counters_.polls);
+      if (!IsJobId(path->id)) {
+        Answer(request.id, 404, wire::EncodeError("no such job"));
+      } else if (path->abort) {
+        Abort(now, std::move(query));
+      } else {
+        Poll(now, std::move(query));
+      }
+    }
+  } else {
+    Answer(request.id, 404, wire::EncodeError("no such path"));
+  }
+  After(now);
+  return Flush();
+}
+
+Outbox Core::HandleAnswer(Micros now, uint64_t call, int status, const std::string& body) {
+  auto it = pending_.find(call);
+  if (it != pending_.end()) {
+    Handler handler = std::move(it->second);
+    pending_.erase(it);
+    handler(now, status, body);
+  }
+  After(now);
+  return Flush();
+}
+
+Outbox Core::HandlePeer(Micros now, const std::string& from, const mesh::Message& message) {
+  auto peer = peers_.find(from);
+  if (peer == peers_.end()) return Flush();
+  if (const auto* ping = std::get_if<mesh::Ping>(&message)) {
+    TakeGossip(now, from, *ping);
+    mesh::Pong pong;
+    static_cast<mesh::Gossip&>(pong) = MakeGossip(now);
+    pong.seq = ping->seq;
+    out_.peers.push_back({from, std::move(pong)});
+  } else if (const auto* pong = std::get_if<mesh::Pong>(&message)) {
+    Peer& p = peer->second;
+    auto sent = p.pings.find(pong->seq);
+    // The first pong of a new process says nothing of what the last one accepted.
+    bool same = p.boot == pong->boot;
+    TakeGossip(now, from, *pong);
+    if (sent != p.pings.end()) {
+      if (same && (p.reset_at == 0 || view_at_ > p.reset_at)) {
+        p.known = std::max(p.known, sent->second);
+      }
+      p.pings.erase(p.pings.begin(), std::next(sent));
+    }
+  } else if (const auto* relay = std::get_if<mesh::Relay>(&message)) {
+    OnReport(now, 0, from, relay->id, relay->body);
+  } else if (const auto* reply = std::get_if<mesh::RelayReply>(&message)) {
+    auto it = relays_.find(reply->id);
+    if (it != relays_.end()) {
+      Answer(it->second.first, static_cast<int>(reply->status), reply->body);
+      relays_.erase(it);
+    }
+  }
+  After(now);
+  return Flush();
+}
+
+Outbox Core::Tick(Micros now, Micros wall) {
+  wall_offset_ = wall - now;
+  if (!synced_ && !listing_ && now >= watch_retry_) StartList(now);
+  if (synced_ && !watching_ && now >= watch_retry_) StartWatch(now);
+  if (now >= next_gossip_) Gossip(now);
+  RunLease(now);
+  if (synced_) RunClaims(now);
+  RunCloud(now);
+  for (auto it = relays_.begin(); it != relays_.end();) {
+    if (now - it->second.second > 3 * kSecond) {
+      Answer(it->second.first, 503, wire::EncodeError("owner does not answer"));
+      it = relays_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  while (!accepted_cancels_.empty() && accepted_cancels_.front().first + 2 * s_.cancel < now) {
+    accepted_cancels_.pop_front();
+  }
+  After(now);
+  return Flush();
+}
+
+std::string Core::MetricsText(Micros now) const {
+  std::string out;
+  auto put = [&out](const char* name, uint64_t v) {
+    out.append("troutlink_").append(name).append(" ").append(std::to_string(v)).append("\n");
+  };
+  const Counters& c = counters_;
+  put("uptime_seconds", static_cast<uint64_t>((now - started_) / kSecond));
+  put("submissions_total", c.submissions);
+  put("accepted_total", c.accepted);
+  put("refused_total", c.refused);
+  put("polls_total", c.polls);
+  put("aborts_total", c.aborts);
+  put("reports_total", c.reports);
+  put("redirects_total", c.redirects);
+  put("relays_total", c.relays);
+  put("commits_total", c.commits);
+  put("commit_conflicts_total", c.commit_conflicts);
+  put("commit_unknown_total", c.commit_unknown);
+  put("state_puts_total", c.puts);
+  put("state_calls_total", c.state_calls);
+  put("cloud_calls_total", c.cloud_calls);
+  put("worker_calls_total", c.worker_calls);
+  put("worker_unknown_total", c.worker_unknown);
+  put("starts_total", c.starts);
+  put("stops_total", c.stops);
+  put("gone_total", c.gone);
+  put("takes_total", c.takes);
+  put("share_moves_total", c.share_moves);
+  put("hired_total", c.hired);
+  put("refused_hires_total", c.refused_hires);
+  put("returned_total", c.returned);
+  put("adopted_total", c.adopted);
+  put("claims_total", c.claims);
+  put("lost_claims_total", c.lost_claims);
+  put("handed_back_total", c.handed_back);
+  put("tails_total", c.tails);
+  put("helpers_total", c.helpers);
+  put("overdue_total", c.overdue);
+  put("preempted_total", c.preempted);
+  put("fences_total", c.fences);
+  put("jobs", jobs_.size());
+  put("attempts", attempts_.size());
+  put("machines", machines_.size());
+  return out;
+}
+
+}  // namespace troutlink
--- /dev/null
+++ b/src/core/core.h
@@ -0,0 +1,375 @@
+// One controller as a state machine: takes inputs, returns what to send,
+// write and answer. See docs/design.md for the reasoning behind each rule.
+#ifndef TROUTLINK_CORE_CORE_H_
+#define TROUTLINK_CORE_CORE_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "config/settings.h"
+#include "core/budget.h"
+#include "core/health.h"
+#include "core/io.h"
+#include "core/placement.h"
+#include "core/records.h"
+#include "wire/messages.h"
+
+namespace troutlink {
+
+struct Counters {
+  uint64_t submissions = 0, accepted = 0, refused = 0, polls = 0, aborts = 0;
+  uint64_t reports = 0, redirects = 0, relays = 0;
+  uint64_t commits = 0, commit_conflicts = 0, commit_unknown = 0, puts = 0;
+  uint64_t state_calls = 0, cloud_calls = 0, worker_calls = 0, worker_unknown = 0;
+  uint64_t starts = 0, stops = 0, gone = 0, takes = 0, share_moves = 0;
+  uint64_t hired = 0, refused_hires = 0, returned = 0, adopted = 0;
+  uint64_t claims = 0, lost_claims = 0, handed_back = 0;
+  uint64_t tails = 0, helpers = 0, overdue = 0, preempted = 0, fences = 0;
+};
+
+class Core {
+ public:
+  // `boot` differs at every start of the process.
+  Core(const Settings& settings, uint64_t boot, Micros now, Micros wall);
+
+  Outbox HandleRequest(Micros now, const Request& request);
+  Outbox HandleAnswer(Micros now, uint64_t call, int status, const std::string& body);
+  Outbox HandlePeer(Micros now, const std::string& from, const mesh::Message& message);
+  // Several times a second; `wall` is the time of day.
+  Outbox Tick(Micros now, Micros wall);
+
+  const Counters& counters() const { return counters_; }
+  // For operators and tests.
+  bool Owns(int part) const { return parts_[static_cast<size_t>(part)].mine; }
+  bool Synced() const { return synced_; }
+  const Roster& RosterOf(int part) const { return parts_[static_cast<size_t>(part)].roster; }
+  std::string MetricsText(Micros now) const;
+
+ private:
+  // --- view (view.cc): what the state service holds, as last heard -----------
+  struct JobEntry {
+    JobRecord record;  // the specification is dropped once the job is over
+    uint64_t version = 0;
+  };
+  struct Chunk {
+    std::string value;
+    uint64_t version = 0;
+  };
+  struct Part {
+    uint64_t claim_version = 0;  // 0: nobody holds it
+    Claim claim;
+    std::map<int, Chunk> chunks;
+    Roster roster;
+    uint64_t progress_version = 0;
+    Progress progress;
+    // Ownership.
+    bool mine = false;
+    uint64_t my_claim = 0;      // kept after a loss, to go on answering reports
+    uint64_t rival_claim = 0;   // highest claim of another node that we know of
+    std::string rival;
+    Micros absent_since = 0;
+    Micros claimed_at = 0;
+    Micros no_claim_before = 0;
+    bool claiming = false;
+    bool releasing = false;
+    // Rounds.
+    bool committing = false;
+    bool dirty = false;         // something to decide
+    bool cleanup = false;       // only removals: may wait
+    bool fence = false;         // a commit is needed for its revision
+    Micros last_commit = 0;
+    Micros not_before = 0;
+    Micros cleanup_at = 0;
+    int conflicts = 0;
+    Micros progress_at = 0;
+    bool progress_dirty = false;
+    uint32_t batch = 0;
+    double array_peak = 0;      // recent peak of cpus that arrays wanted
+    Micros peak_at = 0;
+  };
+
+  void StartList(Micros now);
+  void ListPage(Micros now, const std::string& after);
+  void FinishList(Micros now);
+  void StartWatch(Micros now);
+  void ApplyPut(Micros now, const std::string& key, const std::string& value, uint64_t version);
+  void ApplyErase(Micros now, const std::string& key, uint64_t version);
+  void RebuildRoster(Micros now, int part);
+  void DropFinishedSpec(JobEntry* entry);
+  int PartOfMachine(const std::string& name) const;
+
+  // --- ownership (ownership.cc) ----------------------------------------------
+  void Gossip(Micros now);
+  mesh::Gossip MakeGossip(Micros now) const;
+  void TakeGossip(Micros now, const std::string& from, const mesh::Gossip& gossip);
+  void RunLease(Micros now);
+  void RunClaims(Micros now);
+  void TryClaim(Micros now, int part);
+  void OnClaimed(Micros now, int part, uint64_t revision);
+  void LoseClaim(Micros now, int part, const char* why);
+  void HandBack(Micros now, int part);
+  std::string OwnerLabel(int part) const;
+  // Until when reports may be answered: no peer can have accepted a cancel
+  // early enough for its tasks to outlive `cancel` because of us.
+  bool MayRenew(Micros now) const;
+  bool StateFresh(Micros now) const { return now - state_ok_ < 1500 * kMilli; }
+  bool Up(Micros now) const;
+
+  // --- acceptance (acceptance.cc) ---------------------------------------------
+  struct Query {
+    enum class Kind { kPoll, kSubmit, kAbort } kind = Kind::kPoll;
+    uint64_t request = 0;
+    std::string id;
+    Micros since = 0;
+    int tries = 0;
+  };
+  void Submit(Micros now, const Request& request);
+  void Poll(Micros now, Query query);
+  void RunQueries(Micros now);
+  void AnswerQuery(Micros now, const Query& query);
+  void Abort(Micros now, Query query);
+  void FetchJob(Micros now, const std::string& id);
+  JobStatus StatusOf(const std::string& id, const JobEntry& entry) const;
+  int PartForJob(const JobSpec& spec) const;
+  // Empty: it can run.
+  std::string NeverRuns(const JobSpec& spec) const;
+
+  // --- workers (workers.cc) ----------------------------------------------------
+  struct AttemptInfo {
+    std::string machine;
+    int part = 0;
+    uint64_t mark = 0;     // of the last time that the roster had it
+    bool fresh = false;    // decided by this process: its start is ours to send
+    bool seen = false;     // a report had it
+    bool gone = false;     // proven gone; leaves the roster at the next commit
+    bool direct = false;   // its start is in a direct command without an answer yet
+    bool moved = false;    // is being moved for the tail
+    bool stopping = false;
+    Micros stop_at = 0;    // when the stop was decided
+    Micros grace = 0;
+    bool stop_sent = false;
+    TaskState state = TaskState::kFetching;
+    Micros placed_at = 0;
+    Micros running_at = 0;
+    uint64_t session = 0;    // in which the start was sent
+    uint64_t reply_seq = 0;  // report whose reply carried the start last
+  };
+  struct MachineInfo {
+    std::string addr;
+    uint64_t session = 0;
+    uint64_t seq = 0;
+    uint64_t token_seen = 0;
+    uint64_t fence = 0;        // our token for it, where higher than the claim
+    uint64_t need_token = 0;   // absences prove nothing until the worker saw this
+    Micros heard = 0;          // last report or answer
+    Micros since = 0;          // when we began to care for it
+    Micros first_heard = 0;
+    bool direct_busy = false;
+    int direct_failures = 0;
+    Micros no_direct_before = 0;
+    bool probe = false;        // ask for its state, we know no session yet
+    Micros notice_end = 0;     // the cloud takes it away then; 0: no notice
+    bool failed = false;       // the cloud says so
+    bool missing = false;      // was listed, is no longer
+    bool listed = false;
+    bool listed_running = false;
+    bool returning = false;
+    Micros return_at = 0;
+    Micros idle_since = 0;
+    Micros avoid_until = 0;    // refused a start for lack of room
+    uint64_t owned_claim = 0;  // claim under which it was last in a roster of ours
+    bool give_up = false;      // to be returned even with tasks on it
+    std::vector<TaskReport> tasks;
+    std::map<std::string, Micros> images;  // by last use
+    std::map<std::string, double> image_gb;
+    // As a non-owner.
+    Micros redirected_at = 0;
+    std::string redirected_to;
+    Micros relay_until = 0;
+  };
+  void OnReport(Micros now, uint64_t request, const std::string& relay_from, uint64_t relay_id,
+                const std::string& body);
+  void AnswerReport(uint64_t request, const std::string& relay_from, uint64_t relay_id, int status,
+                    std::string body);
+  bool TakeReport(Micros now, int part, const RosterMachine& machine, const Report& report,
+                  bool direct);
+  std::vector<Command> MakeOrders(Micros now, int part, const RosterMachine& machine,
+                                  const Report& report);
+  void TaskExited(Micros now, int part, const RosterMachine& machine, const Attempt& attempt,
+                  AttemptInfo* info, const TaskReport& task);
+  void MarkGone(Micros now, int part, const Attempt& attempt, AttemptInfo* info);
+  void Push(Micros now, int part, const std::string& machine);
+  void Probe(Micros now, int part, const std::string& machine);
+  uint64_t TokenOf(int part, const MachineInfo& info) const;
+  void StopAttempt(Micros now, const Attempt& attempt, AttemptInfo* info, Micros grace);
+  bool JobOver(const std::string& job) const;  // cancelled or done
+  void Touch(int part) { parts_[static_cast<size_t>(part)].dirty = true; }
+  void TouchImage(MachineInfo* info, const std::string& type, const std::string& image, double gb,
+                  Micros now);
+
+  // --- rounds (rounds.cc) --------------------------------------------------------
+  struct JobRun {
+    int part = 0;
+    std::vector<uint8_t> tasks;  // kWaiting, kPlaced, kDone
+    int done = 0;
+    int placed = 0;
+    std::vector<int> placed_list;
+    int hint = 0;  // no waiting task before this one
+    std::vector<Micros> durations;
+    std::set<int> moved;  // tasks that were moved to steady machines once
+    bool finishing = false;
+    bool loaded = false;
+  };
+  enum : uint8_t { kWaiting = 0, kPlaced = 1, kDone = 2 };
+  JobRun* RunOf(const std::string& job);
+  void LoadRun(int part, const std::string& id, const JobEntry& entry);
+  void SyncPart(Micros now, int part);
+  void RunRounds(Micros now);
+  void Round(Micros now, int part);
+  struct Offer {
+    const MachineType* type = nullptr;
+    std::string zone;
+  };
+  struct Draft;
+  void DraftRemovals(Micros now, int part, Draft* draft);
+  void DraftFleet(Micros now, int part, Draft* draft);
+  void DraftTail(Micros now, int part, Draft* draft);
+  void DraftPlacement(Micros now, int part, Draft* draft);
+  void DraftPreemption(Micros now, int part, Draft* draft, const JobSpec& spec);
+  bool DraftTake(Micros now, int part, Draft* draft, const JobSpec& spec);
+  bool DraftShare(int part, Draft* draft, const Team& team, const Share& want);
+  void Commit(Micros now, int part, Draft* draft);
+  void OnCommitted(Micros now, int part, const Draft& draft, uint64_t revision);
+  std::vector<PlaceMachine> Snapshot(Micros now, int part, const Roster& roster) const;
+  PlaceMachine SnapshotMachine(Micros now, int part, const RosterMachine& machine) const;
+  bool Usable(Micros now, const RosterMachine& machine, const MachineInfo& info) const;
+  Share UsedBy(const Roster& roster, const std::string& team, bool skip_gone) const;
+  int64_t SteadyHeadroom(int part) const;
+  void DraftAdoption(Micros now, int part, Draft* draft);
+  void DraftReturns(Micros now, int part, Draft* draft);
+  void AddHire(int part, Draft* draft, const Offer& offer, bool spot, int count,
+               const std::string& helps);
+
+  // --- fleet (fleet.cc) -------------------------------------------------------------
+  void RunCloud(Micros now);
+  void AskTypes(Micros now);
+  void AskMachines(Micros now, const std::string& after);
+  void TakeTypes(Micros now, const std::string& body);
+  void TakeMachines(Micros now);
+  void SendHire(Micros now, int part, const std::string& request);
+  void SendReturns(Micros now, int part);
+  void JudgeMachines(Micros now, int part);
+  const MachineType* TypeOf(const std::string& name) const;
+  // The cheapest type and zone of a kind that fits `each` and is not paused.
+  bool PickOffer(Micros now, const JobSpec& spec, const JobSpread& spread, bool spot,
+                 const Roster& roster, Offer* offer) const;
+
+  // --- plumbing (core.cc) --------------------------------------------------------------
+  using Handler = std::function<void(Micros now, int status, const std::string& body)>;
+  uint64_t Send(Dest dest, std::string addr, std::string method, std::string target,
+                std::string body, Micros timeout, Handler handler);
+  void Answer(uint64_t request, int status, std::string body, int retry_after_s = 0);
+  void Log(LogLine::Level level, std::string text);
+  Outbox Flush();
+  void After(Micros now);
+  const JobEntry* FindJob(const std::string& id) const;
+  const Team* FindTeam(const std::string& name) const;
+  Micros WallNow(Micros now) const { return now + wall_offset_; }
+
+  const Settings s_;
+  const uint64_t boot_;
+  const Micros started_;
+  Micros wall_offset_ = 0;
+  Outbox out_;
+  Counters counters_;
+  uint64_t next_call_ = 1;
+  std::unordered_map<uint64_t, Handler> pending_;
+
+  // View.
+  bool synced_ = false;
+  bool listing_ = false;
+  uint64_t list_revision_ = 0;
+  std::map<std::string, Chunk> list_items_;
+  uint64_t watch_revision_ = 0;
+  bool watching_ = false;
+  Micros watch_retry_ = 0;
+  Micros view_at_ = 0;   // the view holds every change made before this time
+  Micros state_ok_ = 0;  // last answer of the state service
+  std::unordered_map<std::string, JobEntry> jobs_;
+  std::vector<Part> parts_;
+  std::map<std::string, int> machine_part_;
+
+  // Ownership.
+  uint64_t lease_ = 0;
+  bool lease_busy_ = false;
+  Micros lease_sent_ = 0;
+  Micros lease_until_ = 0;  // by our clock, counted from the sending
+  Micros lease_retry_ = 0;
+  struct Peer {
+    std::string label;
+    uint64_t boot = 0;
+    Micros heard = 0;         // last message
+    Micros known = 0;         // its accepted cancels are known up to here
+    Micros reset_at = 0;      // it restarted then, and may have forgotten some
+    Micros state_age = 0;     // at `heard`
+    std::map<uint64_t, Micros> pings;  // in flight
+  };
+  std::map<std::string, Peer> peers_;
+  uint64_t ping_seq_ = 0;
+  Micros next_gossip_ = 0;
+  std::deque<std::pair<Micros, std::string>> accepted_cancels_;
+  std::set<std::string> heard_cancels_;  // from peers, perhaps before the view
+
+  // Acceptance.
+  std::deque<Query> queries_;
+  bool query_busy_ = false;
+  Micros query_not_before_ = 0;
+
+  // Workers.
+  std::map<Attempt, AttemptInfo> attempts_;
+  std::unordered_map<std::string, MachineInfo> machines_;
+  std::map<std::string, Report> unknown_;  // machines in no roster, by last report
+  uint64_t next_relay_ = 1;
+  std::map<uint64_t, std::pair<uint64_t, Micros>> relays_;  // relay id -> request
+  Health health_;
+
+  // Rounds.
+  std::unordered_map<std::string, JobRun> runs_;
+
+  // Fleet.
+  std::vector<MachineType> types_;
+  std::string types_stored_;
+  bool types_busy_ = false;
+  Micros next_types_ = 0;
+  bool list_busy_ = false;
+  Micros next_machines_ = 0;
+  Micros machines_asked_ = 0;
+  std::vector<ListedMachine> listed_;
+  std::map<std::string, Micros> stray_since_;
+  std::map<std::string, Micros> offer_pause_;  // type/zone/kind
+  struct HireState {
+    bool sent = false;
+    bool done = false;
+    std::vector<std::string> machines;
+    Micros retry_at = 0;
+  };
+  std::map<std::string, HireState> hires_;
+  std::set<std::string> returned_;  // confirmed by the cloud, to leave the roster
+  uint64_t mark_ = 0;
+  std::map<std::string, Micros> free_since_;  // others' machines, for taking
+  Micros next_judge_ = 0;
+
+  Budget write_budget_;
+  Budget state_budget_;
+  Budget cloud_budget_;
+};
+
+}  // namespace troutlink
+
+#endif  // TROUTLINK_CORE_CORE_H_
--- /dev/null
+++ b/src/core/fleet.cc
@@ -0,0 +1,531 @@
+// Fleet: what to rent, what to give back, and which machines are lost.
+#include <algorithm>
+#include <cmath>
+
+#include "base/ids.h"
+#include "core/core.h"
+#include "core/draft.h"
+
+namespace troutlink {
+
+namespace {
+constexpr Micros kCloudTimeout = 5 * kSecond;
+constexpr Micros kTypesPeriod = 60 * kSecond;
+constexpr Micros kJudgePeriod = 250 * kMilli;
+constexpr Micros kAdoptAfter = 300 * kMilli;
+constexpr Micros kStrayAfter = 20 * kSecond;
+constexpr int kMostPerRental = 50;
+constexpr int kPageLimit = 500;
+
+std::string OfferKey(const std::string& type, const std::string& zone, bool spot) {
+  return type + "/" + zone + (spot ? "/spot" : "/steady");
+}
+
+int TasksPer(const JobSpec& spec, const MachineType& type) {
+  int64_t n = 1 << 20;
+  auto dim = [&n](int64_t each, int64_t size) {
+    if (each > 0) n = std::min(n, size / each);
+  };
+  dim(spec.each.cpus, type.size.cpus);
+  dim(spec.each.gpus, type.size.gpus);
+  dim(spec.each.memory, type.size.memory);
+  return static_cast<int>(n);
+}
+}  // namespace
+
+const MachineType* Core::TypeOf(const std::string& name) const {
+  for (const MachineType& t : types_) {
+    if (t.name == name) return &t;
+  }
+  return nullptr;
+}
+
+bool Core::PickOffer(Micros now, const JobSpec& spec, const JobSpread& spread, bool spot,
+                     const Roster& roster, Offer* offer) const {
+  double best = 0;
+  bool found = false;
+  for (const MachineType& t : types_) {
+    if (!TypeAllowed(spec, t.name, spot)) continue;
+    int per = TasksPer(spec, t);
+    if (per <= 0) continue;
+    for (const std::string& zone : t.zones) {
+      auto pause = offer_pause_.find(OfferKey(t.name, zone, spot));
+      if (pause != offer_pause_.end() && now < pause->second) continue;
+      PlaceMachine probe;
+      probe.type = t.name;
+      probe.zone = zone;
+      probe.spot = spot;
+      if (!Allowed(spec, spread, probe)) continue;
+      double cost = (spot ? t.spot_price : t.price) / std::min(per, 64);
+      // Evenly over the zones, where it costs nothing.
+      int have = 0;
+      for (const auto& [name, m] : roster.machines) have += m.zone == zone ? 1 : 0;
+      cost *= 1.0 + 0.001 * have;
+      if (!found || cost < best) {
+        found = true;
+        best = cost;
+        offer->type = &t;
+        offer->zone = zone;
+      }
+    }
+  }
+  return found;
+}
+
+void Core::AddHire(int part, Draft* draft, const Offer& offer, bool spot, int count,
+                   const std::string& helps) {
+  Hire hire;
+  // Unique for ever: the number comes from the roster, in whose commit it is
+  // used up before the request is sent.
+  hire.ask.request = "troutlink-" + std::to_string(part) + "-" +
+                     std::to_string(draft->roster.next_number++);
+  hire.ask.type = offer.type->name;
+  hire.ask.zone = offer.zone;
+  hire.ask.spot = spot;
+  hire.ask.count = std::min(count, kMostPerRental);
+  hire.helps = helps;
+  draft->hires.push_back(hire.ask.request);
+  draft->roster.hires[hire.ask.request] = hire;
+  draft->urgent = true;
+}
+
+void Core::DraftAdoption(Micros now, int part, Draft* draft) {
+  // Rentals that were answered.
+  for (auto it = draft->roster.hires.begin(); it != draft->roster.hires.end();) {
+    auto state = hires_.find(it->first);
+    if (state == hires_.end() || !state->second.done) {
+      ++it;
+      continue;
+    }
+    for (const std::string& name : state->second.machines) {
+      if (PartOfMachine(name) >= 0) continue;
+      RosterMachine m;
+      m.name = name;
+      m.type = it->second.ask.type;
+      m.zone = it->second.ask.zone;
+      m.spot = it->second.ask.spot;
+      m.helps = it->second.helps;
+      auto known = unknown_.find(name);
+      if (known != unknown_.end()) m.addr = known->second.addr;
+      draft->roster.machines[name] = std::move(m);
+    }
+    it = draft->roster.hires.erase(it);
+    draft->urgent = true;
+  }
+  // Machines that nobody has in a roster, by hash of their names. The commit is
+  // conditional on all rosters, so that no two parts take the same machine.
+  auto wanted = [&](const std::string& type, const std::string& zone, bool spot) {
+    for (int q = 0; q < s_.parts(); ++q) {
+      const Roster& r = q == part ? draft->roster : parts_[static_cast<size_t>(q)].roster;
+      for (const auto& [id, h] : r.hires) {
+        if (h.ask.type == type && h.ask.zone == zone && h.ask.spot == spot) return true;
+      }
+    }
+    return false;
+  };
+  int adopted = 0;
+  auto adopt = [&](const std::string& name, const std::string& addr, const std::string& type,
+                   const std::string& zone, bool spot) {
+    if (static_cast<int>(StableHash(name) % parts_.size()) != part) return;
+    if (PartOfMachine(name) >= 0 || draft->roster.machines.count(name) != 0) return;
+    if (wanted(type, zone, spot)) return;  // may be the answer to come
+    RosterMachine m;
+    m.name = name;
+    m.addr = addr;
+    m.type = type;
+    m.zone = zone;
+    m.spot = spot;
+    draft->roster.machines[name] = std::move(m);
+    draft->all_rosters = true;
+    draft->urgent = true;
+    ++adopted;
+    ++counters_.adopted;
+  };
+  for (const auto& [name, report] : unknown_) {
+    if (adopted >= 50) break;
+    if (returned_.count(name) != 0) continue;
+    auto since = stray_since_.find(name);
+    if (since == stray_since_.end() || now - since->second < kAdoptAfter) continue;
+    adopt(name, report.addr, report.type, report.zone, report.spot);
+  }
+  for (const ListedMachine& m : listed_) {
+    if (adopted >= 50) break;
+    if (m.state == ListedMachine::State::kFailed || m.age < kStrayAfter) continue;
+    auto since = stray_since_.find(m.name);
+    if (since == stray_since_.end() || now - since->second < kStrayAfter) continue;
+    adopt(m.name, m.addr, m.type, m.zone, m.spot);
+  }
+}
+
+void Core::DraftFleet(Micros now, int part, Draft* draft) {
+  if (draft->hires.size() + draft->roster.hires.size() >= 4) return;
+  // Room that is on its way: machines that boot, and rentals under way.
+  struct Coming {
+    std::string type, zone, helps;
+    bool spot;
+    Amount free;
+  };
+  std::vector<Coming> coming;
+  int64_t steady_free = 0, spot_free = 0;
+  for (const auto& [name, m] : draft->roster.machines) {
+    const MachineType* type = TypeOf(m.type);
+    auto info = machines_.find(name);
+    if (type == nullptr || m.leaving) continue;
+    bool up = info != machines_.end() && info->second.first_heard != 0;
+    bool lost = info != machines_.end() && (info->second.give_up || info->second.failed);
+    if (!up && !lost) coming.push_back({m.type, m.zone, m.helps, m.spot, type->size});
+  }
+  for (const auto& [id, h] : draft->roster.hires) {
+    const MachineType* type = TypeOf(h.ask.type);
+    if (type == nullptr) continue;
+    for (int i = 0; i < h.ask.count; ++i) {
+      coming.push_back({h.ask.type, h.ask.zone, h.helps, h.ask.spot, type->size});
+    }
+  }
+  for (const PlaceMachine& m : draft->machines) {
+    if (!m.usable || !m.helps.empty()) continue;
+    (m.spot ? spot_free : steady_free) += std::max<int64_t>(0, m.free.cpus);
+  }
+  const int64_t headroom = SteadyHeadroom(part);
+  for (const Draft::Unmet& u : draft->unmet) {
+    const JobSpec& spec = *u.spec;
+    JobSpread spread = draft->SpreadOf(spec.id);
+    double share = spec.kind == JobKind::kService ? 1.0 : s_.op.rent_share();
+    int left = static_cast<int>(std::ceil(u.tasks * share));
+    // Beyond its team's limit a job has no use for machines.
+    if (const Team* team = FindTeam(spec.team); team != nullptr && team->cpus_max > 0 &&
+                                                spec.each.cpus > 0) {
+      left = std::min<int>(left, static_cast<int>(team->cpus_max / spec.each.cpus));
+    }
+    for (Coming& c : coming) {
+      if (left <= 0) break;
+      if (!c.helps.empty() && c.helps != spec.id) continue;
+      PlaceMachine probe;
+      probe.type = c.type;
+      probe.zone = c.zone;
+      probe.spot = c.spot;
+      while (left > 0 && spec.each.Fits(c.free) && Allowed(spec, spread, probe)) {
+        c.free -= spec.each;
+        ++spread.by_zone[c.zone];
+        --left;
+        if (spec.each.cpus <= 0) break;
+      }
+    }
+    if (left <= 0) continue;
+    Offer offer;
+    bool spot = spec.spot && !u.tail && PickOffer(now, spec, spread, true, draft->roster, &offer);
+    if (!spot && !PickOffer(now, spec, spread, false, draft->roster, &offer)) continue;
+    int per = TasksPer(spec, *offer.type);
+    int machines = (left + per - 1) / per;
+    if (spec.spread) machines = std::min(machines, SpreadLimit(spec));
+    if (draft->hires.size() + draft->roster.hires.size() >= 4) return;
+    AddHire(part, draft, offer, spot, machines, "");
+    for (int i = 0; i < machines; ++i) {
+      Amount free = offer.type->size;
+      for (int k = 0; k < per && left > 0; ++k, --left) free -= spec.each;
+      coming.push_back({offer.type->name, offer.zone, "", spot, free});
+    }
+  }
+  for (const Coming& c : coming) {
+    if (c.helps.empty()) (c.spot ? spot_free : steady_free) += c.free.cpus;
+  }
+  if (headroom > steady_free) {
+    JobSpec service;
+    service.each.cpus = kMilli;
+    Offer offer;
+    if (PickOffer(now, service, JobSpread(), false, draft->roster, &offer)) {
+      int64_t n = (headroom - steady_free + offer.type->size.cpus - 1) / offer.type->size.cpus;
+      AddHire(part, draft, offer, false, static_cast<int>(n), "");
+    }
+  }
+}
+
+void Core::DraftReturns(Micros now, int part, Draft* draft) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  int64_t steady_free = 0, spot_free = 0;
+  for (const PlaceMachine& m : draft->machines) {
+    if (!m.usable || !m.helps.empty()) continue;
+    (m.spot ? spot_free : steady_free) += std::max<int64_t>(0, m.free.cpus);
+  }
+  const int64_t headroom = SteadyHeadroom(part);
+  const auto spare = static_cast<int64_t>(s_.op.array_headroom_share() * p.array_peak);
+  for (auto& [name, m] : draft->roster.machines) {
+    if (m.leaving) continue;
+    auto it = machines_.find(name);
+    const MachineType* type = TypeOf(m.type);
+    if (it == machines_.end() || type == nullptr) continue;
+    MachineInfo& info = it->second;
+    if (info.give_up) {
+      m.leaving = true;
+      draft->urgent = true;
+      Log(LogLine::Level::kInfo, "giving up " + name);
+      continue;
+    }
+    if (!m.attempts.empty() || info.idle_since == 0) continue;
+    if (!m.helps.empty()) {
+      // A helper without a task goes back at once, as soon as none waits for it.
+      JobRun* run = RunOf(m.helps);
+      auto help = draft->roster.helps.find(m.helps);
+      bool wanted = run != nullptr && help != draft->roster.helps.end() &&
+                    help->second.credit > 0 &&
+                    run->done + run->placed < static_cast<int>(run->tasks.size());
+      if (!wanted) m.leaving = true;
+    } else if (health_.Sick(name) && now - info.idle_since > 2 * kSecond) {
+      m.leaving = true;
+    } else if (now - info.idle_since > FromSeconds(s_.op.idle_return_s())) {
+      if (m.spot) {
+        if (spot_free + std::max<int64_t>(0, steady_free - headroom) - type->size.cpus >= spare) {
+          spot_free -= type->size.cpus;
+          m.leaving = true;
+        }
+      } else if (steady_free - type->size.cpus >=
+                 headroom + std::max<int64_t>(0, spare - spot_free)) {
+        steady_free -= type->size.cpus;
+        m.leaving = true;
+      }
+    }
+    if (m.leaving) draft->urgent = true;
+  }
+}
+
+void Core::SendHire(Micros now, int part, const std::string& request) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  auto hire = p.roster.hires.find(request);
+  if (!p.mine || hire == p.roster.hires.end()) return;
+  HireState& state = hires_[request];
+  if (state.sent || state.done || now < state.retry_at) return;
+  if (!cloud_budget_.Take(now, 1)) return;
+  state.sent = true;
+  const RentRequest ask = hire->second.ask;
+  Send(Dest::kCloud, "", "POST", wire::RentTarget(), wire::EncodeRent(ask), kCloudTimeout,
+       [this, part, request, ask](Micros t, int status, const std::string& body) {
+         HireState& h = hires_[request];
+         h.sent = false;
+         std::optional<std::vector<std::string>> rented;
+         if (status == 200) rented = wire::DecodeRented(body);
+         std::string key = OfferKey(ask.type, ask.zone, ask.spot);
+         if (rented) {
+           h.done = true;
+           h.machines = *rented;
+           counters_.hired += rented->size();
+           // Filled in part: there are no more at the moment.
+           if (static_cast<int>(rented->size()) < ask.count) {
+             offer_pause_[key] = t + FromSeconds(s_.op.refusal_pause_s());
+           }
+         } else if (status == 400 ||
+                    (status == 503 && body.find("no capacity") != std::string::npos)) {
+           h.done = true;
+           ++counters_.refused_hires;
+           offer_pause_[key] = t + FromSeconds(s_.op.refusal_pause_s());
+         } else {
+           // May have been carried out: only a repeat of the same request tells.
+           h.retry_at = t + 1500 * kMilli;
+         }
+         Touch(part);
+       });
+}
+
+void Core::SendReturns(Micros now, int part) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  if (!p.mine) return;
+  std::vector<std::string> names;
+  for (const auto& [name, m] : p.roster.machines) {
+    MachineInfo& info = machines_[name];
+    if (!m.leaving || info.returning || returned_.count(name) != 0 || now < info.return_at) continue;
+    names.push_back(name);
+    if (names.size() >= 100) break;
+  }
+  if (names.empty() || !cloud_budget_.Take(now, 1)) return;
+  for (const std::string& name : names) machines_[name].returning = true;
+  Send(Dest::kCloud, "", "POST", wire::ReturnTarget(), wire::EncodeReturn(names), kCloudTimeout,
+       [this, part, names](Micros t, int status, const std::string&) {
+         Part& q = parts_[static_cast<size_t>(part)];
+         for (const std::string& name : names) {
+           MachineInfo& info = machines_[name];
+           info.returning = false;
+           info.return_at = t + kSecond;
+           auto m = q.roster.machines.find(name);
+           if (status != 200 || m == q.roster.machines.end() || !q.mine) continue;
+           // Confirmed: the machine and everything on it is gone.
+           ++counters_.returned;
+           returned_.insert(name);
+           health_.ForgetMachine(name);
+           for (const Attempt& a : m->second.attempts) {
+             auto at = attempts_.find(a);
+             if (at != attempts_.end()) MarkGone(t, part, a, &at->second);
+           }
+         }
+         Touch(part);
+       });
+}
+
+void Core::AskTypes(Micros now) {
+  if (types_busy_ || now < next_types_ || !cloud_budget_.Take(now, 1)) return;
+  types_busy_ = true;
+  Send(Dest::kCloud, "", "GET", wire::MachineTypesTarget(), "", kCloudTimeout,
+       [this](Micros t, int status, const std::string& body) {
+         types_busy_ = false;
+         next_types_ = t + (status == 200 ? kTypesPeriod : 2 * kSecond);
+         if (status == 200) TakeTypes(t, body);
+       });
+}
+
+void Core::TakeTypes(Micros now, const std::string& body) {
+  std::optional<std::vector<MachineType>> types = wire::DecodeMachineTypes(body);
+  if (!types || types->empty()) return;
+  types_ = std::move(*types);
+  // Kept for the day on which we start while the cloud is away.
+  if (!types_stored_.empty() || !synced_ || !write_budget_.Take(now, 1, 2)) return;
+  types_stored_ = body;
+  StateTxn txn;
+  txn.writes.push_back({std::string(kRoot) + "types", body, 0, false});
+  ++counters_.puts;
+  Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kCloudTimeout,
+       [this](Micros, int status, const std::string&) {
+         if (status != 200) types_stored_.clear();
+       });
+}
+
+void Core::AskMachines(Micros now, const std::string& after) {
+  if (after.empty()) {
+    machines_asked_ = now;
+    listed_.clear();
+  }
+  Send(Dest::kCloud, "", "GET", wire::MachinesTarget(after, kPageLimit), "", kCloudTimeout,
+       [this](Micros t, int status, const std::string& body) {
+         std::optional<wire::MachinePage> page;
+         if (status == 200) page = wire::DecodeMachines(body);
+         if (!page) {
+           list_busy_ = false;
+           listed_.clear();
+           next_machines_ = t + 3 * kSecond;
+           return;
+         }
+         listed_.insert(listed_.end(), page->machines.begin(), page->machines.end());
+         if (page->more && !page->machines.empty() && cloud_budget_.Take(t, 1)) {
+           AskMachines(t, page->machines.back().name);
+           return;
+         }
+         list_busy_ = false;
+         next_machines_ = t + std::max<Micros>(2 * kSecond, s_.list_lag / 2 + kSecond);
+         if (!page->more) TakeMachines(t);
+       });
+}
+
+void Core::TakeMachines(Micros now) {
+  std::set<std::string> names;
+  for (const ListedMachine& m : listed_) {
+    names.insert(m.name);
+    int part = PartOfMachine(m.name);
+    if (part < 0) {
+      stray_since_.try_emplace(m.name, now);
+      continue;
+    }
+    MachineInfo& info = machines_[m.name];
+    info.listed = true;
+    info.missing = false;
+    info.listed_running = m.state == ListedMachine::State::kRunning;
+    info.failed = m.state == ListedMachine::State::kFailed;
+    if (info.addr.empty()) info.addr = m.addr;
+  }
+  for (const Part& p : parts_) {
+    for (const auto& [name, m] : p.roster.machines) {
+      MachineInfo& info = machines_[name];
+      // A list may be older than the one before it: only a machine that has
+      // been up for longer than any list lags is missed.
+      bool old = info.first_heard != 0 && machines_asked_ - info.first_heard > 3 * s_.list_lag;
+      if (old && info.listed && names.count(name) == 0) info.missing = true;
+    }
+  }
+  std::erase_if(stray_since_, [&](const auto& s) {
+    return names.count(s.first) == 0 && unknown_.count(s.first) == 0;
+  });
+  std::erase_if(machines_, [&](const auto& m) {
+    return machine_part_.count(m.first) == 0 && names.count(m.first) == 0 &&
+           now - std::max(m.second.heard, m.second.redirected_at) > 120 * kSecond;
+  });
+}
+
+// Finds machines that are lost, idle or about to be taken.
+void Core::JudgeMachines(Micros now, int part) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  int total = 0, silent_ones = 0;
+  for (const auto& [name, m] : p.roster.machines) {
+    const MachineInfo& info = machines_[name];
+    if (info.first_heard == 0 || info.missing || info.failed) continue;
+    ++total;
+    if (now - std::max(info.heard, info.since) > 3 * s_.report) ++silent_ones;
+  }
+  // When most fall silent at once, it is rather we who cannot hear.
+  const bool deaf = total >= 3 && silent_ones * 10 > total * 6;
+  for (const auto& [name, m] : p.roster.machines) {
+    MachineInfo& info = machines_[name];
+    const MachineType* type = TypeOf(m.type);
+    if (info.since == 0) info.since = now;
+    Micros silent = now - std::max(info.heard, info.since);
+    bool lost = info.failed;
+    if (info.missing && silent > 3 * s_.report / 2) lost = true;
+    Micros patience = Longest(s_.lease) + 2 * kSecond;
+    if (info.first_heard != 0 && silent > patience && !deaf) lost = true;
+    if (info.first_heard == 0 && type != nullptr) {
+      Micros boot = static_cast<Micros>(s_.op.boot_patience() * static_cast<double>(type->boot));
+      if (silent > boot + 10 * kSecond) lost = true;
+      if (info.listed_running && !m.attempts.empty() && silent > patience + 5 * kSecond && !deaf) {
+        lost = true;
+      }
+    }
+    if (lost && !info.give_up && !m.leaving) {
+      info.give_up = true;
+      Touch(part);
+    }
+    bool busy = false;
+    for (const Attempt& a : m.attempts) {
+      auto at = attempts_.find(a);
+      if (at == attempts_.end() || !at->second.gone) busy = true;
+      if (at == attempts_.end() || at->second.gone || at->second.stopping) continue;
+      if (info.notice_end == 0) continue;
+      // The machine is about to be taken: what can be saved is saved and goes
+      // on elsewhere; what would not finish in time starts elsewhere at once.
+      const JobEntry* job = FindJob(a.job);
+      if (job == nullptr) continue;
+      const JobSpec& spec = job->record.spec;
+      Micros ran = at->second.running_at == 0 ? 0 : now - at->second.running_at;
+      if (spec.checkpoint > 0) {
+        StopAttempt(now, a, &at->second, spec.save + kSecond);
+      } else if (spec.kind == JobKind::kService || ran + (info.notice_end - now) < spec.estimate) {
+        StopAttempt(now, a, &at->second, 0);
+      }
+      Push(now, part, name);
+    }
+    if (busy || info.first_heard == 0) {
+      info.idle_since = 0;
+    } else if (info.idle_since == 0) {
+      info.idle_since = now;
+    }
+    // Whatever waits for a direct command that could not be sent before.
+    if (info.probe || info.token_seen < TokenOf(part, info) || info.need_token > info.token_seen) {
+      if (info.need_token > TokenOf(part, info)) p.fence = true;
+      Push(now, part, name);
+    }
+  }
+}
+
+void Core::RunCloud(Micros now) {
+  AskTypes(now);
+  bool any = false;
+  for (int part = 0; part < s_.parts(); ++part) {
+    Part& p = parts_[static_cast<size_t>(part)];
+    if (!p.mine) continue;
+    any = true;
+    for (const auto& [id, h] : p.roster.hires) SendHire(now, part, id);
+    SendReturns(now, part);
+    if (now >= next_judge_) JudgeMachines(now, part);
+  }
+  if (now >= next_judge_) next_judge_ = now + kJudgePeriod;
+  if (any && synced_ && !list_busy_ && now >= next_machines_ && cloud_budget_.Take(now, 1)) {
+    list_busy_ = true;
+    AskMachines(now, "");
+  }
+}
+
+}  // namespace troutlink
--- /dev/null
+++ b/src/core/io.h
@@ -0,0 +1,64 @@
+// What goes into the core and what it hands back. The core does no I/O, reads
+// no clock and draws no random numbers: everything arrives as an argument.
+#ifndef TROUTLINK_CORE_IO_H_
+#define TROUTLINK_CORE_IO_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/micros.h"
+#include "mesh/codec.h"
+
+namespace troutlink {
+
+struct Request {
+  uint64_t id = 0;
+  std::string method;
+  std::string target;
+  std::string body;
+};
+
+struct Reply {
+  uint64_t id = 0;
+  int status = 0;
+  std::string body;
+  int retry_after_s = 0;
+};
+
+enum class Dest { kState, kWatch, kCloud, kWorker };
+
+// Statuses of calls that got no answer.
+inline constexpr int kNoAnswer = 0;  // sent, at least in part: may be or become executed
+inline constexpr int kNotSent = -1;  // the connection never opened: will not be executed
+
+struct Call {
+  uint64_t id = 0;
+  Dest dest = Dest::kState;
+  std::string addr;  // workers
+  std::string method;
+  std::string target;
+  std::string body;
+  Micros timeout = 0;
+};
+
+struct PeerMessage {
+  std::string to;
+  mesh::Message message;
+};
+
+struct LogLine {
+  enum class Level { kError, kInfo, kDebug } level;
+  std::string text;
+};
+
+struct Outbox {
+  std::vector<Reply> replies;
+  std::vector<Call> calls;
+  std::vector<PeerMessage> peers;
+  std::vector<LogLine> log;
+};
+
+}  // namespace troutlink
+
+#endif  // TROUTLINK_CORE_IO_H_
--- /dev/null
+++ b/src/core/ownership.cc
@@ -0,0 +1,284 @@
+// Ownership: the lease, the claims on parts, and what siblings tell.
+#include <algorithm>
+
+#include "core/core.h"
+
+namespace troutlink {
+
+namespace {
+constexpr Micros kGossipPeriod = 500 * kMilli;
+constexpr Micros kStateTimeout = 1500 * kMilli;
+constexpr Micros kRenewMargin = 1500 * kMilli;
+}  // namespace
+
+mesh::Gossip Core::MakeGossip(Micros now) const {
+  mesh::Gossip g;
+  g.boot = boot_;
+  g.uptime_us = static_cast<uint64_t>(now - started_);
+  g.state_age_us = static_cast<uint64_t>(state_ok_ == 0 ? now - started_ + 3600 * kSecond
+                                                        : now - state_ok_);
+  for (size_t p = 0; p < parts_.size(); ++p) {
+    const Part& part = parts_[p];
+    if (part.mine) {
+      g.claims.push_back({p, part.my_claim, s_.label});
+    } else if (part.rival_claim > part.my_claim) {
+      g.claims.push_back({p, part.rival_claim, part.rival});
+    }
+  }
+  for (const auto& [when, id] : accepted_cancels_) g.cancels.push_back(id);
+  const Part& own = parts_[static_cast<size_t>(s_.own_part)];
+  if (synced_ && !own.mine && own.claim_version != 0 && StateFresh(now) &&
+      now - started_ > FromSeconds(s_.op.hand_back_after_s())) {
+    g.wanted.push_back(static_cast<uint64_t>(s_.own_part));
+  }
+  return g;
+}
+
+void Core::Gossip(Micros now) {
+  next_gossip_ = now + kGossipPeriod;
+  for (auto& [label, peer] : peers_) {
+    mesh::Ping ping;
+    static_cast<mesh::Gossip&>(ping) = MakeGossip(now);
+    ping.seq = ++ping_seq_;
+    peer.pings[ping.seq] = now;
+    while (peer.pings.size() > 64) peer.pings.erase(peer.pings.begin());
+    out_.peers.push_back({label, std::move(ping)});
+  }
+}
+
+void Core::TakeGossip(Micros now, const std::string& from, const mesh::Gossip& gossip) {
+  Peer& peer = peers_[from];
+  if (peer.boot != gossip.boot) {
+    // A late message of the process before this one would flip it back and
+    // forth; that only makes us more careful.
+    peer.boot = gossip.boot;
+    peer.reset_at = now;
+  }
+  peer.heard = now;
+  peer.state_age = static_cast<Micros>(
+      std::min<uint64_t>(gossip.state_age_us, static_cast<uint64_t>(1) << 60));
+  for (const mesh::PartClaim& c : gossip.claims) {
+    if (c.part >= parts_.size() || c.owner == s_.label) continue;
+    Part& p = parts_[c.part];
+    if (c.revision > p.rival_claim) {
+      p.rival_claim = c.revision;
+      p.rival = c.owner;
+      if (p.mine && c.revision > p.my_claim) {
+        LoseClaim(now, static_cast<int>(c.part), "a sibling says it was claimed");
+      }
+    }
+  }
+  for (const std::string& id : gossip.cancels) {
+    auto job = jobs_.find(id);
+    if (job != jobs_.end() && job->second.record.state != JobState::kOpen) continue;
+    if (!heard_cancels_.insert(id).second) continue;
+    // Our view may lag, or we may be cut off from the state service: the tasks
+    // must end all the same.
+    for (auto& [attempt, info] : attempts_) {
+      if (attempt.job == id && !info.gone) StopAttempt(now, attempt, &info, 0);
+    }
+  }
+  for (uint64_t wanted : gossip.wanted) {
+    if (wanted < parts_.size() && s_.labels[wanted] == from) HandBack(now, static_cast<int>(wanted));
+  }
+}
+
+void Core::RunLease(Micros now) {
+  if (lease_busy_ || now < lease_retry_) return;
+  Micros life = FromSeconds(s_.op.claim_life_s());
+  lease_busy_ = true;
+  lease_sent_ = now;
+  if (lease_ == 0) {
+    Send(Dest::kState, "", "POST", wire::GrantTarget(), wire::EncodeGrant(life), kStateTimeout,
+         [this, life, sent = now](Micros t, int status, const std::string& body) {
+           lease_busy_ = false;
+           lease_retry_ = t + 200 * kMilli;
+           std::optional<uint64_t> id;
+           if (status == 200) id = wire::DecodeGrant(body);
+           if (!id) return;
+           state_ok_ = t;
+           lease_ = *id;
+           lease_until_ = sent + Shortest(life);
+           lease_retry_ = t + life / 4;
+         });
+    return;
+  }
+  Send(Dest::kState, "", "POST", wire::RenewTarget(lease_), wire::EncodeGrant(life), kStateTimeout,
+       [this, life, sent = now, lease = lease_](Micros t, int status, const std::string&) {
+         lease_busy_ = false;
+         if (lease != lease_) return;
+         if (status == 200) {
+           state_ok_ = t;
+           lease_until_ = sent + Shortest(life);
+           lease_retry_ = t + life / 4;
+         } else if (status == 404) {
+           state_ok_ = t;
+           lease_ = 0;
+           lease_retry_ = t;
+           for (int p = 0; p < s_.parts(); ++p) {
+             if (parts_[static_cast<size_t>(p)].mine) LoseClaim(t, p, "lease ended");
+           }
+         } else {
+           lease_retry_ = t + 250 * kMilli;
+         }
+       });
+}
+
+void Core::RunClaims(Micros now) {
+  if (lease_ == 0) return;
+  for (int p = 0; p < s_.parts(); ++p) {
+    Part& part = parts_[static_cast<size_t>(p)];
+    if (part.mine || part.claiming) continue;
+    if (part.claim_version != 0) {
+      if (part.claim.owner != s_.label) continue;
+      if (part.claim.boot == boot_) {
+        // A claim whose answer was lost did apply.
+        if (part.claim_version > part.my_claim) OnClaimed(now, p, part.claim_version);
+        continue;
+      }
+      TryClaim(now, p);  // held by the process before this one
+      continue;
+    }
+    if (part.absent_since == 0) part.absent_since = now;
+    if (now < part.no_claim_before) continue;
+    int n = s_.parts();
+    int distance = (s_.own_part - p + n) % n;
+    Micros wait = 0;
+    if (distance != 0) {
+      wait = (distance - 1) * 600 * kMilli;
+      // Everybody starts at once: leave each its own.
+      if (now - started_ < 5 * kSecond) wait += 3 * kSecond;
+    }
+    if (now - part.absent_since >= wait) TryClaim(now, p);
+  }
+}
+
+void Core::TryClaim(Micros now, int part) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  if (!write_budget_.Take(now, 1)) return;
+  p.claiming = true;
+  StateTxn txn;
+  txn.conditions.emplace_back(ClaimKey(part), p.claim_version);
+  // The roster must be the one that we know.
+  if (p.chunks.count(0) == 0) {
+    txn.conditions.emplace_back(RosterKey(part, 0), 0);
+    txn.writes.push_back({RosterKey(part, 0), EncodeChunk(Roster(), 0), 0, false});
+  }
+  for (const auto& [i, chunk] : p.chunks) txn.conditions.emplace_back(RosterKey(part, i), chunk.version);
+  txn.writes.push_back({ClaimKey(part), EncodeClaim({s_.label, boot_}), lease_, false});
+  counters_.puts += txn.writes.size();
+  Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kStateTimeout,
+       [this, part, txn](Micros t, int status, const std::string& body) {
+         Part& q = parts_[static_cast<size_t>(part)];
+         q.claiming = false;
+         std::optional<wire::TxnReply> reply;
+         if (status == 200 || status == 409) reply = wire::DecodeTxnReply(body);
+         if (reply) state_ok_ = t;
+         if (status == 200 && reply) {
+           for (const StateWrite& w : txn.writes) ApplyPut(t, w.key, w.value, reply->revision);
+           if (!q.mine) OnClaimed(t, part, reply->revision);
+         } else {
+           q.no_claim_before = t + 100 * kMilli;
+           if (status == 400) lease_ = 0;  // no such lease: get a new one
+         }
+       });
+}
+
+void Core::OnClaimed(Micros now, int part, uint64_t revision) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  ++counters_.claims;
+  p.mine = true;
+  p.my_claim = revision;
+  p.claimed_at = now;
+  p.releasing = false;
+  p.committing = false;
+  p.progress_at = now + FromSeconds(s_.op.progress_period_s());
+  Log(LogLine::Level::kInfo, "claimed part " + std::to_string(part) + " at revision " +
+                                 std::to_string(revision));
+  // Whatever we knew of its attempts may be of an earlier ownership.
+  for (auto it = attempts_.begin(); it != attempts_.end();) {
+    bool of_part = false;
+    if (const JobEntry* job = FindJob(it->first.job)) of_part = job->record.part == part;
+    it = of_part ? attempts_.erase(it) : std::next(it);
+  }
+  for (auto it = runs_.begin(); it != runs_.end();) {
+    it = it->second.part == part ? runs_.erase(it) : std::next(it);
+  }
+  for (const auto& [name, m] : p.roster.machines) {
+    MachineInfo& info = machines_[name];
+    // Commands of the owner before us may still run until the worker has seen
+    // our token; until then its reports prove no absence.
+    info.need_token = std::max(info.need_token, revision);
+    info.since = now;
+    info.returning = false;
+    info.direct_busy = false;
+    info.idle_since = 0;
+    if (!m.addr.empty()) info.addr = m.addr;
+    info.probe = true;
+    free_since_.erase(name);
+  }
+  for (const auto& [id, hire] : p.roster.hires) hires_.erase(id);
+  for (const auto& [id, entry] : jobs_) {
+    if (entry.record.part == part && entry.record.state == JobState::kOpen) {
+      LoadRun(part, id, entry);
+    }
+  }
+  SyncPart(now, part);
+  Touch(part);
+}
+
+void Core::LoseClaim(Micros now, int part, const char* why) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  p.mine = false;
+  p.committing = false;
+  ++counters_.lost_claims;
+  p.no_claim_before = std::max(p.no_claim_before, now + 200 * kMilli);
+  Log(LogLine::Level::kInfo, "lost part " + std::to_string(part) + ": " + why);
+}
+
+void Core::HandBack(Micros now, int part) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  if (!p.mine || p.releasing || p.committing || !StateFresh(now)) return;
+  if (now - p.claimed_at < 5 * kSecond) return;
+  if (!write_budget_.Take(now, 1)) return;
+  p.releasing = true;
+  StateTxn txn;
+  txn.conditions.emplace_back(ClaimKey(part), p.my_claim);
+  txn.writes.push_back({ClaimKey(part), "", 0, true});
+  ++counters_.puts;
+  Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kStateTimeout,
+       [this, part, claim = p.my_claim](Micros t, int status, const std::string&) {
+         Part& q = parts_[static_cast<size_t>(part)];
+         q.releasing = false;
+         if (status == 200 && q.mine && q.my_claim == claim) {
+           ++counters_.handed_back;
+           q.no_claim_before = t + 3 * kSecond;
+           LoseClaim(t, part, "handed back");
+         }
+       });
+}
+
+std::string Core::OwnerLabel(int part) const {
+  const Part& p = parts_[static_cast<size_t>(part)];
+  if (p.mine) return s_.label;
+  if (p.claim_version != 0 && p.claim_version >= p.rival_claim) return p.claim.owner;
+  return p.rival_claim > p.my_claim ? p.rival : "";
+}
+
+bool Core::MayRenew(Micros now) const {
+  Micros bound = now;
+  for (const auto& [label, peer] : peers_) bound = std::min(bound, std::max(view_at_, peer.known));
+  return now < bound + Shortest(s_.cancel) - Longest(s_.lease) - kRenewMargin;
+}
+
+bool Core::Up(Micros now) const {
+  if (!synced_ || types_.empty()) return false;
+  if (StateFresh(now)) return true;
+  // While nobody has the state service, there is no better node to go to.
+  for (const auto& [label, peer] : peers_) {
+    if (now - peer.heard < 2 * kSecond && peer.state_age < 1500 * kMilli) return false;
+  }
+  return true;
+}
+
+}  // namespace troutlink
--- /dev/null
+++ b/src/core/quota.h
@@ -0,0 +1,24 @@
+// Teams' limits, split into shares of the parts, and their guarantees.
+#ifndef TROUTLINK_CORE_QUOTA_H_
+#define TROUTLINK_CORE_QUOTA_H_
+
+#include <map>
+#include <string>
+
+#include "config/settings.h"
+#include "core/records.h"
+
+namespace troutlink {
+
+// A share that was never moved: the limit split evenly, the rest to part 0.
+Share EqualShare(const Team& team, int part, int parts);
+// The share of `team` that the roster of `part` holds.
+Share ShareOf(const Roster& roster, const Team& team, int part, int parts);
+// Whether one more task fits. A limit of 0 means none.
+bool WithinShare(const Team& team, const Share& share, const Share& used, const Amount& each);
+// How much of `want` cpus (gpus) can be moved out of a share with `used` in use.
+Share Movable(const Share& share, const Share& used, const Share& want);
+
+}  // namespace troutlink
+
+#endif  // TROUTLINK_CORE_QUOTA_H_
--- /dev/null
+++ b/src/core/records.h
@@ -0,0 +1,116 @@
+// What the service keeps in the state service, and under which keys.
+#ifndef TROUTLINK_CORE_RECORDS_H_
+#define TROUTLINK_CORE_RECORDS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wire/types.h"
+
+namespace troutlink {
+
+// All keys share one prefix, so that one watch follows them all.
+inline constexpr std::string_view kRoot = "troutlink/";
+
+std::string JobKey(std::string_view id);
+std::string ClaimKey(int part);
+std::string RosterKey(int part, int chunk);
+std::string ProgressKey(int part);
+
+struct Key {
+  enum class Kind { kJob, kClaim, kRoster, kProgress, kOther } kind = Kind::kOther;
+  std::string id;  // jobs
+  int part = 0;
+  int chunk = 0;
+};
+Key ParseKey(std::string_view key);
+
+struct JobRecord {
+  JobSpec spec;
+  int part = 0;
+  JobState state = JobState::kOpen;
+  Micros submitted = 0;  // time of day
+};
+std::string EncodeJob(const JobRecord& job);
+std::optional<JobRecord> DecodeJob(std::string_view value);
+
+struct Claim {
+  std::string owner;
+  uint64_t boot = 0;
+};
+std::string EncodeClaim(const Claim& claim);
+std::optional<Claim> DecodeClaim(std::string_view value);
+
+// One task on one machine, intended or real.
+struct Attempt {
+  std::string job;
+  int task = 0;
+  uint64_t number = 0;
+  auto operator<=>(const Attempt&) const = default;
+};
+
+struct RosterMachine {
+  std::string name;
+  std::string addr;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  bool leaving = false;   // is being given back: takes no work, cannot be taken
+  std::string helps;      // the job whose tail it was rented for
+  std::vector<Attempt> attempts;
+  bool operator==(const RosterMachine&) const = default;
+};
+
+// A rental that was decided on and may not have been answered yet. It stays
+// until a definite answer, so that no machine is rented and forgotten.
+struct Hire {
+  RentRequest ask;
+  std::string helps;
+  bool operator==(const Hire& o) const {
+    return ask.request == o.ask.request && ask.count == o.ask.count;
+  }
+};
+
+struct Share {
+  int64_t cpus = 0;
+  int64_t gpus = 0;
+  bool operator==(const Share&) const = default;
+};
+
+// The tail help that a job was granted: kept, or a takeover would grant it anew.
+struct Help {
+  double credit = 0;  // cpu hours left
+  bool operator==(const Help&) const = default;
+};
+
+struct Roster {
+  int chunks = 1;
+  uint64_t next_number = 1;  // attempts and rental requests
+  std::map<std::string, RosterMachine> machines;
+  std::map<std::string, Hire> hires;
+  std::map<std::string, Share> shares;  // by team; absent: the equal share
+  std::map<std::string, Help> helps;    // by job
+  bool operator==(const Roster&) const = default;
+};
+
+// The record of chunk 0 holds everything but machines; machines are spread
+// over the chunks by hash of their names.
+int ChunkOf(const std::string& machine, int chunks);
+std::string EncodeChunk(const Roster& roster, int chunk);
+bool DecodeChunk(std::string_view value, int chunk, Roster* roster);
+// Size of a stored value as the state service counts it.
+int64_t StoredSize(std::string_view value);
+
+// Completed tasks of unfinished jobs.
+using Progress = std::map<std::string, std::set<int>>;
+std::string EncodeProgress(const Progress& progress);
+std::optional<Progress> DecodeProgress(std::string_view value);
+
+}  // namespace troutlink
+
+#endif  // TROUTLINK_CORE_RECORDS_H_
--- /dev/null
+++ b/src/core/rounds.cc
@@ -0,0 +1,732 @@
+// Rounds: everything a part decides at one moment goes into one commit; what
+// comes meanwhile is gathered by the next.
+#include <algorithm>
+#include <memory>
+
+#include "core/core.h"
+#include "core/draft.h"
+#include "core/quota.h"
+#include "core/tail.h"
+
+namespace troutlink {
+
+namespace {
+constexpr Micros kCommitTimeout = 1500 * kMilli;
+constexpr Micros kCleanupPeriod = 700 * kMilli;
+constexpr Micros kIdleRound = 250 * kMilli;
+constexpr Micros kTakeAfter = 1500 * kMilli;
+}  // namespace
+
+Core::JobRun* Core::RunOf(const std::string& job) {
+  auto it = runs_.find(job);
+  return it == runs_.end() ? nullptr : &it->second;
+}
+
+void Core::LoadRun(int part, const std::string& id, const JobEntry& entry) {
+  if (runs_.count(id) != 0) return;
+  JobRun& run = runs_[id];
+  run.part = part;
+  run.tasks.assign(static_cast<size_t>(entry.record.spec.tasks), kWaiting);
+  const Progress& progress = parts_[static_cast<size_t>(part)].progress;
+  auto it = progress.find(id);
+  if (it != progress.end() && entry.record.spec.kind == JobKind::kArray) {
+    for (int task : it->second) {
+      if (static_cast<size_t>(task) < run.tasks.size() &&
+          run.tasks[static_cast<size_t>(task)] != kDone) {
+        run.tasks[static_cast<size_t>(task)] = kDone;
+        ++run.done;
+      }
+    }
+  }
+}
+
+// Brings what is known of attempts, tasks and machines in line with the roster.
+void Core::SyncPart(Micros now, int part) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  ++mark_;
+  for (auto& [id, run] : runs_) {
+    if (run.part != part) continue;
+    for (int i : run.placed_list) {
+      uint8_t& t = run.tasks[static_cast<size_t>(i)];
+      if (t == kPlaced) {
+        t = kWaiting;
+        run.hint = std::min(run.hint, i);
+      }
+    }
+    run.placed_list.clear();
+    run.placed = 0;
+  }
+  for (const auto& [name, m] : p.roster.machines) {
+    MachineInfo& info = machines_[name];
+    if (info.owned_claim != p.my_claim) {
+      info.owned_claim = p.my_claim;
+      uint64_t revision = p.my_claim;
+      auto chunk = p.chunks.find(ChunkOf(name, p.roster.chunks));
+      if (info.need_token < p.my_claim && chunk != p.chunks.end()) {
+        // It came to this part after the claim: by a move, which is entitled
+        // by its own revision.
+        revision = std::max(revision, chunk->second.version);
+        info.fence = std::max(info.fence, revision);
+        info.need_token = revision;
+        info.since = now;
+        info.idle_since = 0;
+        info.give_up = false;
+        info.returning = false;
+        info.probe = true;
+      }
+      if (info.addr.empty()) info.addr = m.addr;
+    }
+    for (const Attempt& a : m.attempts) {
+      AttemptInfo& at = attempts_[a];
+      if (at.machine.empty()) {
+        at.machine = name;
+        at.part = part;
+        at.placed_at = now;
+      }
+      at.mark = mark_;
+      if (at.gone) continue;
+      JobRun* run = RunOf(a.job);
+      if (run == nullptr || static_cast<size_t>(a.task) >= run->tasks.size()) continue;
+      uint8_t& t = run->tasks[static_cast<size_t>(a.task)];
+      if (t == kWaiting) {
+        t = kPlaced;
+        ++run->placed;
+        run->placed_list.push_back(a.task);
+      }
+    }
+  }
+  for (auto it = attempts_.begin(); it != attempts_.end();) {
+    bool left = it->second.part == part && it->second.mark != mark_;
+    it = left ? attempts_.erase(it) : std::next(it);
+  }
+  for (auto it = returned_.begin(); it != returned_.end();) {
+    auto owner = machine_part_.find(*it);
+    it = owner == machine_part_.end() ? returned_.erase(it) : std::next(it);
+  }
+}
+
+bool Core::Usable(Micros now, const RosterMachine& m, const MachineInfo& info) const {
+  if (m.leaving || info.give_up || info.failed || info.notice_end != 0) return false;
+  if (info.session == 0 || now < info.avoid_until) return false;
+  if (now - info.heard > 2 * s_.report + kSecond) return false;
+  return !health_.Sick(m.name);
+}
+
+PlaceMachine Core::SnapshotMachine(Micros now, int part, const RosterMachine& m) const {
+  (void)part;
+  PlaceMachine out;
+  out.name = m.name;
+  out.type = m.type;
+  out.zone = m.zone;
+  out.spot = m.spot;
+  out.helps = m.helps;
+  const MachineType* type = TypeOf(m.type);
+  if (type != nullptr) {
+    out.size = out.free = type->size;
+    out.fetch_gb_per_s = type->fetch_gb_per_s;
+  }
+  auto info = machines_.find(m.name);
+  out.usable = type != nullptr && info != machines_.end() && Usable(now, m, info->second);
+  if (info != machines_.end()) {
+    for (const auto& [image, used] : info->second.images) out.images[image] = true;
+  }
+  for (const Attempt& a : m.attempts) {
+    auto at = attempts_.find(a);
+    if (at != attempts_.end() && at->second.gone) continue;
+    ++out.tasks[a.job];
+    const JobEntry* job = FindJob(a.job);
+    if (job == nullptr) continue;
+    out.free -= job->record.spec.each;
+    if (at != attempts_.end() && at->second.state == TaskState::kFetching &&
+        !job->record.spec.image.empty()) {
+      if (out.images.try_emplace(job->record.spec.image, false).second) ++out.fetching;
+    }
+  }
+  return out;
+}
+
+std::vector<PlaceMachine> Core::Snapshot(Micros now, int part, const Roster& roster) const {
+  std::vector<PlaceMachine> out;
+  out.reserve(roster.machines.size());
+  for (const auto& [name, m] : roster.machines) out.push_back(SnapshotMachine(now, part, m));
+  return out;
+}
+
+Share Core::UsedBy(const Roster& roster, const std::string& team, bool skip_gone) const {
+  Share used;
+  for (const auto& [name, m] : roster.machines) {
+    for (const Attempt& a : m.attempts) {
+      if (skip_gone) {
+        auto at = attempts_.find(a);
+        if (at != attempts_.end() && at->second.gone) continue;
+      }
+      const JobEntry* job = FindJob(a.job);
+      if (job == nullptr || job->record.spec.team != team) continue;
+      used.cpus += job->record.spec.each.cpus;
+      used.gpus += job->record.spec.each.gpus;
+    }
+  }
+  return used;
+}
+
+int64_t Core::SteadyHeadroom(int part) const {
+  int64_t services = 0;
+  for (const auto& [id, run] : runs_) {
+    if (run.part != part) continue;
+    const JobEntry* job = FindJob(id);
+    if (job != nullptr && job->record.spec.kind == JobKind::kService) {
+      services += job->record.spec.each.cpus * job->record.spec.tasks;
+    }
+  }
+  if (services == 0) return 0;
+  return std::max(static_cast<int64_t>(1000 * s_.op.service_headroom_cpus()),
+                  static_cast<int64_t>(s_.op.service_headroom_share() *
+                                       static_cast<double>(services)));
+}
+
+void Core::RunRounds(Micros now) {
+  for (int part = 0; part < s_.parts(); ++part) {
+    Part& p = parts_[static_cast<size_t>(part)];
+    if (!p.mine || p.committing || p.releasing || now < p.not_before || types_.empty()) continue;
+    bool due = p.dirty || p.fence || now - p.last_commit > kIdleRound;
+    if (due) Round(now, part);
+  }
+}
+
+void Core::Round(Micros now, int part) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  p.dirty = false;
+  p.last_commit = now;
+  p.not_before = now + 15 * kMilli;
+  Draft draft;
+  draft.roster = p.roster;
+  DraftRemovals(now, part, &draft);
+  draft.machines = Snapshot(now, part, draft.roster);
+  DraftAdoption(now, part, &draft);
+  DraftTail(now, part, &draft);
+  DraftPlacement(now, part, &draft);
+  DraftFleet(now, part, &draft);
+  DraftReturns(now, part, &draft);
+  draft.fence = p.fence;
+  for (auto& [id, run] : runs_) {
+    if (run.part != part || run.done < static_cast<int>(run.tasks.size())) continue;
+    if (static_cast<int>(draft.done.size()) + 4 >= s_.txn_ops) break;
+    draft.done.push_back(id);
+    draft.urgent = true;
+  }
+  draft.progress = p.progress_dirty && now >= p.progress_at;
+  Commit(now, part, &draft);
+}
+
+void Core::DraftRemovals(Micros now, int part, Draft* draft) {
+  (void)now;
+  (void)part;
+  for (auto it = draft->roster.machines.begin(); it != draft->roster.machines.end();) {
+    if (returned_.count(it->first) != 0) {
+      it = draft->roster.machines.erase(it);
+      continue;
+    }
+    std::erase_if(it->second.attempts, [this](const Attempt& a) {
+      auto at = attempts_.find(a);
+      return at != attempts_.end() && at->second.gone;
+    });
+    auto info = machines_.find(it->first);
+    if (info != machines_.end() && !info->second.addr.empty()) it->second.addr = info->second.addr;
+    ++it;
+  }
+  std::erase_if(draft->roster.helps, [this](const auto& h) { return runs_.count(h.first) == 0; });
+}
+
+void Core::DraftPlacement(Micros now, int part, Draft* draft) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  struct Waiting {
+    const JobSpec* spec;
+    JobRun* run;
+    int tasks;
+    bool within;
+    Micros key;
+  };
+  std::map<std::string, Share> everywhere;  // by team, over all parts
+  for (const Team& t : s_.teams) {
+    Share sum;
+    for (int q = 0; q < s_.parts(); ++q) {
+      Share u = UsedBy(parts_[static_cast<size_t>(q)].roster, t.name, true);
+      sum.cpus += u.cpus;
+      sum.gpus += u.gpus;
+    }
+    everywhere[t.name] = sum;
+  }
+  std::vector<Waiting> waiting;
+  double array_cpus = 0;
+  for (auto& [id, run] : runs_) {
+    if (run.part != part) continue;
+    const JobEntry* job = FindJob(id);
+    if (job == nullptr || JobOver(id)) continue;
+    const JobSpec& spec = job->record.spec;
+    int left = static_cast<int>(run.tasks.size()) - run.done - run.placed;
+    if (spec.kind == JobKind::kArray) {
+      array_cpus += static_cast<double>((left + run.placed) * spec.each.cpus);
+    }
+    if (left <= 0 || now < health_.NextStart(id)) continue;
+    const Team* team = FindTeam(spec.team);
+    if (team == nullptr) continue;
+    bool within = team->cpus > 0 && everywhere[spec.team].cpus + spec.each.cpus <= team->cpus;
+    Micros key = job->record.submitted;
+    if (spec.deadline > 0) key += spec.deadline;
+    waiting.push_back({&spec, &run, left, within, key});
+  }
+  double decay = p.peak_at == 0 ? 0 : std::max(0.0, 1.0 - ToSeconds(now - p.peak_at) / 150.0);
+  p.array_peak = std::max(array_cpus, p.array_peak * decay);
+  p.peak_at = now;
+  std::sort(waiting.begin(), waiting.end(), [](const Waiting& a, const Waiting& b) {
+    if (a.spec->priority != b.spec->priority) return a.spec->priority > b.spec->priority;
+    if (a.within != b.within) return a.within;
+    if (a.key != b.key) return a.key < b.key;
+    return a.spec->id < b.spec->id;
+  });
+  // Batches widen with the load.
+  uint32_t batch = std::max(p.batch, s_.op.batch());
+  uint32_t started = 0;
+  const size_t most_jobs = static_cast<size_t>(std::max(1, 4 * s_.txn_ops - 12));
+  const int64_t headroom = SteadyHeadroom(part);
+  for (const Waiting& w : waiting) {
+    const JobSpec& spec = *w.spec;
+    if (started >= batch || draft->jobs.size() >= most_jobs) break;
+    const Team& team = *FindTeam(spec.team);
+    Share used = UsedBy(draft->roster, spec.team, true);
+    bool tail = draft->roster.helps.count(spec.id) != 0;
+    JobSpread& spread = draft->SpreadOf(spec.id);
+    bool asked_share = false;
+    int left = w.tasks;
+    bool no_machine = false;
+    for (size_t i = static_cast<size_t>(w.run->hint); i < w.run->tasks.size() && left > 0; ++i) {
+      if (w.run->tasks[i] != kWaiting) continue;
+      if (started >= batch) break;
+      if (!WithinShare(team, ShareOf(draft->roster, team, part, s_.parts()), used, spec.each)) {
+        if (asked_share) break;
+        asked_share = true;
+        Share want{spec.each.cpus * left, spec.each.gpus * left};
+        if (!DraftShare(part, draft, team, want)) break;
+        if (!WithinShare(team, ShareOf(draft->roster, team, part, s_.parts()), used, spec.each)) {
+          break;
+        }
+      }
+      PlaceRequest request;
+      request.spec = &spec;
+      request.spread = &spread;
+      request.tail = tail;
+      request.steady_headroom = headroom;
+      int m = ChooseMachine(request, draft->machines);
+      if (m < 0 && DraftTake(now, part, draft, spec)) m = ChooseMachine(request, draft->machines);
+      if (m < 0) {
+        no_machine = true;
+        break;
+      }
+      PlaceMachine& machine = draft->machines[static_cast<size_t>(m)];
+      machine.free -= spec.each;
+      ++machine.tasks[spec.id];
+      ++spread.by_zone[machine.zone];
+      if (!spec.image.empty() && machine.images.try_emplace(spec.image, false).second) {
+        ++machine.fetching;
+      }
+      used.cpus += spec.each.cpus;
+      used.gpus += spec.each.gpus;
+      Attempt a{spec.id, static_cast<int>(i), draft->roster.next_number++};
+      draft->roster.machines[machine.name].attempts.push_back(a);
+      draft->started.emplace_back(machine.name, a);
+      draft->jobs.insert(spec.id);
+      if (machine.helps == spec.id) {
+        draft->roster.helps[spec.id].credit -=
+            static_cast<double>(spec.each.cpus) / 1000.0 * ToSeconds(spec.estimate) / 3600.0;
+      }
+      ++started;
+      --left;
+      draft->urgent = true;
+    }
+    if (no_machine && left > 0) {
+      draft->unmet.push_back({&spec, left, tail});
+      if (spec.priority == Priority::kProduction) DraftPreemption(now, part, draft, spec);
+    }
+  }
+  p.batch = started >= batch ? std::min(batch * 2, s_.op.batch_most()) : s_.op.batch();
+}
+
+// Makes room for critical work by stopping the least important work that is in
+// its way. What is being stopped already counts as room to come.
+void Core::DraftPreemption(Micros now, int part, Draft* draft, const JobSpec& spec) {
+  (void)part;
+  JobSpread& spread = draft->SpreadOf(spec.id);
+  const PlaceMachine* best = nullptr;
+  int64_t best_cost = 0;
+  std::vector<Attempt> best_stops;
+  for (const PlaceMachine& m : draft->machines) {
+    if (!m.usable || !m.helps.empty() || !Allowed(spec, spread, m)) continue;
+    auto roster = draft->roster.machines.find(m.name);
+    if (roster == draft->roster.machines.end()) continue;
+    Amount room = m.free;
+    std::vector<Attempt> stops;
+    int64_t cost = 0;
+    for (const Attempt& a : roster->second.attempts) {
+      auto at = attempts_.find(a);
+      const JobEntry* job = FindJob(a.job);
+      if (at == attempts_.end() || job == nullptr) continue;
+      if (at->second.stopping) room += job->record.spec.each;
+    }
+    if (spec.each.Fits(room)) return;  // will have room in a moment
+    for (const Attempt& a : roster->second.attempts) {
+      if (spec.each.Fits(room)) break;
+      auto at = attempts_.find(a);
+      const JobEntry* job = FindJob(a.job);
+      if (at == attempts_.end() || job == nullptr || at->second.stopping || !at->second.seen) continue;
+      if (job->record.spec.priority >= spec.priority) continue;
+      room += job->record.spec.each;
+      cost += at->second.running_at == 0 ? 0 : now - at->second.running_at;
+      stops.push_back(a);
+    }
+    if (!spec.each.Fits(room)) continue;
+    if (m.images.count(spec.image) == 0) cost += 20 * kSecond;
+    if (best == nullptr || cost < best_cost) {
+      best = &m;
+      best_cost = cost;
+      best_stops = stops;
+    }
+  }
+  if (best == nullptr) return;
+  for (const Attempt& a : best_stops) {
+    auto at = attempts_.find(a);
+    const JobEntry* job = FindJob(a.job);
+    ++counters_.preempted;
+    StopAttempt(now, a, &at->second,
+                job->record.spec.checkpoint > 0 ? job->record.spec.save + kSecond : 0);
+  }
+  Push(now, part, best->name);
+}
+
+// Takes one free machine of another part for a task that has no room here.
+bool Core::DraftTake(Micros now, int part, Draft* draft, const JobSpec& spec) {
+  for (int q = 0; q < s_.parts(); ++q) {
+    if (q == part) continue;
+    const Part& other = parts_[static_cast<size_t>(q)];
+    if (other.chunks.count(0) == 0 || other.committing) continue;
+    // One other part in a commit, or it outgrows the transaction.
+    if (!draft->others.empty() && draft->others.count(q) == 0) continue;
+    const Roster& theirs =
+        draft->others.count(q) != 0 ? draft->others.at(q) : other.roster;
+    int64_t steady_free = 0;
+    for (const auto& [name, m] : theirs.machines) {
+      const MachineType* type = TypeOf(m.type);
+      if (!m.spot && m.attempts.empty() && !m.leaving && type != nullptr) {
+        steady_free += type->size.cpus;
+      }
+    }
+    for (const auto& [name, m] : theirs.machines) {
+      const MachineType* type = TypeOf(m.type);
+      if (type == nullptr || !m.attempts.empty() || m.leaving || !m.helps.empty()) continue;
+      if (m.addr.empty()) continue;  // still booting
+      auto since = free_since_.find(name);
+      if (!other.mine && (since == free_since_.end() || now - since->second < kTakeAfter)) continue;
+      if (other.mine) {
+        auto info = machines_.find(name);
+        if (info == machines_.end() || !Usable(now, m, info->second)) continue;
+      }
+      // Leave the other part something for its own critical starts.
+      if (!m.spot && spec.priority != Priority::kProduction &&
+          steady_free - type->size.cpus < static_cast<int64_t>(1000 * s_.op.service_headroom_cpus())) {
+        continue;
+      }
+      RosterMachine taken = m;
+      PlaceMachine machine = SnapshotMachine(now, part, taken);
+      machine.usable = true;
+      if (!spec.each.Fits(machine.free) || !Allowed(spec, draft->SpreadOf(spec.id), machine)) continue;
+      Roster& changed = draft->others.try_emplace(q, other.roster).first->second;
+      changed.machines.erase(taken.name);
+      draft->machines.push_back(machine);
+      draft->roster.machines[taken.name] = std::move(taken);
+      draft->urgent = true;
+      return true;
+    }
+  }
+  return false;
+}
+
+// Moves unused parts of a team's limit here.
+bool Core::DraftShare(int part, Draft* draft, const Team& team, const Share& want) {
+  Share mine = ShareOf(draft->roster, team, part, s_.parts());
+  Share missing = want;
+  Share used = UsedBy(draft->roster, team.name, true);
+  missing.cpus -= mine.cpus - used.cpus;
+  missing.gpus -= mine.gpus - used.gpus;
+  bool moved = false;
+  for (int q = 0; q < s_.parts(); ++q) {
+    if (q == part || (missing.cpus <= 0 && missing.gpus <= 0)) continue;
+    const Part& other = parts_[static_cast<size_t>(q)];
+    if (other.chunks.count(0) == 0 || other.committing) continue;
+    if (!draft->others.empty() && draft->others.count(q) == 0) continue;
+    const Roster& theirs = draft->others.count(q) != 0 ? draft->others.at(q) : other.roster;
+    Share share = ShareOf(theirs, team, q, s_.parts());
+    Share move = Movable(share, UsedBy(theirs, team.name, false), missing);
+    if (move.cpus <= 0 && move.gpus <= 0) continue;
+    Roster& changed = draft->others.try_emplace(q, other.roster).first->second;
+    changed.shares[team.name] = {share.cpus - move.cpus, share.gpus - move.gpus};
+    mine.cpus += move.cpus;
+    mine.gpus += move.gpus;
+    missing.cpus -= move.cpus;
+    missing.gpus -= move.gpus;
+    draft->roster.shares[team.name] = mine;
+    ++counters_.share_moves;
+    moved = true;
+  }
+  return moved;
+}
+
+// The tail of array jobs: SpeQuloS' trigger, sizing and order (docs/design.md).
+void Core::DraftTail(Micros now, int part, Draft* draft) {
+  for (auto& [id, run] : runs_) {
+    if (run.part != part) continue;
+    const JobEntry* job = FindJob(id);
+    if (job == nullptr || JobOver(id) || job->record.spec.kind != JobKind::kArray) continue;
+    const JobSpec& spec = job->record.spec;
+    if (!TailReached(s_.op.tail_threshold(), run.done, spec.tasks)) continue;
+    Micros median = 0;
+    if (!run.durations.empty()) {
+      std::vector<Micros> sorted = run.durations;
+      auto mid = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+      std::nth_element(sorted.begin(), mid, sorted.end());
+      median = *mid;
+    }
+    int pending = spec.tasks - run.done - run.placed;
+    std::vector<std::pair<Attempt, AttemptInfo*>> overdue;
+    for (auto& [a, at] : attempts_) {
+      if (a.job != id || at.gone || at.stopping || at.running_at == 0) continue;
+      if (run.moved.count(a.task) != 0) continue;
+      if (TailOverdue(now - at.running_at, median, s_.op.overdue_margin())) {
+        overdue.emplace_back(a, &at);
+      }
+    }
+    int candidates = pending + static_cast<int>(overdue.size());
+    if (candidates == 0) continue;
+    JobSpread& spread = draft->SpreadOf(id);
+    // Steady room that the part has already serves as a helper at no new cost.
+    int room = 0;
+    for (const PlaceMachine& m : draft->machines) {
+      if (m.spot || !m.usable || !Allowed(spec, spread, m)) continue;
+      if (!m.helps.empty() && m.helps != id) continue;
+      Amount left = m.free;
+      while (spec.each.Fits(left) && room < candidates && spec.each.cpus > 0) {
+        left -= spec.each;
+        ++room;
+      }
+    }
+    if (draft->roster.helps.count(id) == 0) {
+      double credit = TailCredit(s_.op.credit_share(), spec.tasks, spec.estimate, spec.each.cpus);
+      Micros elapsed = WallNow(now) - job->record.submitted;
+      double cpus = TailCpus(credit, TailRemaining(elapsed, run.done, spec.tasks));
+      draft->roster.helps[id] = {credit};
+      draft->urgent = true;
+      ++counters_.tails;
+      Offer offer;
+      if (candidates > room && PickOffer(now, spec, spread, false, draft->roster, &offer)) {
+        int n = TailHelpers(cpus, candidates - room, spec.each.cpus, offer.type->size.cpus);
+        if (n > 0) {
+          AddHire(part, draft, offer, false, n, id);
+          counters_.helpers += static_cast<uint64_t>(n);
+        }
+      }
+    }
+    if (draft->roster.helps[id].credit <= 0) continue;  // help ends with the credit
+    room -= pending;
+    for (auto& [a, at] : overdue) {
+      if (room <= 0) break;
+      const PlaceMachine* on = nullptr;
+      for (const PlaceMachine& m : draft->machines) {
+        if (m.name == at->machine) on = &m;
+      }
+      // A steady machine that is well gives it no better place to go.
+      if (on != nullptr && !on->spot && on->usable && on->helps == id) continue;
+      --room;
+      run.moved.insert(a.task);
+      at->moved = true;
+      ++counters_.overdue;
+      draft->roster.helps[id].credit -=
+          static_cast<double>(spec.each.cpus) / 1000.0 * ToSeconds(median) / 3600.0;
+      StopAttempt(now, a, at, spec.checkpoint > 0 ? spec.save + kSecond : 0);
+      Push(now, part, at->machine);
+    }
+  }
+}
+
+void Core::Commit(Micros now, int part, Draft* draft) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  StateTxn txn;
+  auto add_roster = [this, &txn](int q, Roster* roster, bool force) {
+    const Part& owner = parts_[static_cast<size_t>(q)];
+    int chunks = roster->chunks;
+    std::vector<std::string> values;
+    while (true) {
+      values.clear();
+      bool fits = true;
+      for (int i = 0; i < roster->chunks; ++i) {
+        values.push_back(EncodeChunk(*roster, i));
+        // As text a value is at most about 2.5 times its packed size.
+        auto size = static_cast<int64_t>(values.back().size());
+        if (size * 5 / 2 > s_.value_bytes * 9 / 10 &&
+            StoredSize(values.back()) > s_.value_bytes * 9 / 10) {
+          fits = false;
+        }
+      }
+      if (fits || roster->chunks >= 64) break;
+      ++roster->chunks;  // split: chunk 0 tells how many there are
+    }
+    bool any = false;
+    for (int i = 0; i < roster->chunks; ++i) {
+      auto old = owner.chunks.find(i);
+      bool same = old != owner.chunks.end() && old->second.value == values[static_cast<size_t>(i)] &&
+                  roster->chunks == chunks;
+      if (same && !(force && i == 0)) continue;
+      txn.writes.push_back({RosterKey(q, i), std::move(values[static_cast<size_t>(i)]), 0, false});
+      any = true;
+    }
+    return any;
+  };
+  bool changed = add_roster(part, &draft->roster, draft->fence);
+  for (auto& [q, roster] : draft->others) changed = add_roster(q, &roster, false) || changed;
+  for (const std::string& id : draft->done) {
+    const JobEntry* job = FindJob(id);
+    if (job == nullptr || job->record.state != JobState::kOpen) continue;
+    JobRecord record = job->record;
+    record.state = JobState::kDone;
+    txn.conditions.emplace_back(JobKey(id), job->version);
+    draft->jobs.erase(id);
+    txn.writes.push_back({JobKey(id), EncodeJob(record), 0, false});
+  }
+  if (draft->progress) {
+    Progress progress;
+    for (const auto& [id, run] : runs_) {
+      if (run.part != part || run.done == 0) continue;
+      std::set<int>& done = progress[id];
+      for (size_t i = 0; i < run.tasks.size(); ++i) {
+        if (run.tasks[i] == kDone) done.insert(static_cast<int>(i));
+      }
+    }
+    std::string value = EncodeProgress(progress);
+    // Losing it only repeats work: what does not fit is left out.
+    while (StoredSize(value) > s_.value_bytes * 9 / 10 && !progress.empty()) {
+      progress.erase(progress.begin());
+      value = EncodeProgress(progress);
+    }
+    txn.writes.push_back({ProgressKey(part), std::move(value), 0, false});
+  }
+  if (txn.writes.empty()) {
+    p.cleanup = false;
+    return;
+  }
+  bool urgent = draft->urgent || draft->fence;
+  if (!urgent && !draft->progress) {
+    // Removals alone wait a little, so that one write takes many.
+    if (p.cleanup_at == 0) {
+      p.cleanup_at = now + kCleanupPeriod;
+      return;
+    }
+    if (now < p.cleanup_at) return;
+  }
+  if (!write_budget_.Take(now, static_cast<double>(txn.writes.size()), urgent ? 0 : 2)) {
+    p.dirty = true;
+    p.not_before = now + 50 * kMilli;
+    return;
+  }
+  p.cleanup_at = 0;
+  txn.conditions.emplace_back(ClaimKey(part), p.my_claim);
+  auto all_chunks = [this, &txn](int q) {
+    const Part& owner = parts_[static_cast<size_t>(q)];
+    if (owner.chunks.count(0) == 0) txn.conditions.emplace_back(RosterKey(q, 0), 0);
+    for (const auto& [i, chunk] : owner.chunks) {
+      txn.conditions.emplace_back(RosterKey(q, i), chunk.version);
+    }
+  };
+  for (int q = 0; q < s_.parts(); ++q) {
+    if (q == part || draft->all_rosters || draft->others.count(q) != 0) all_chunks(q);
+  }
+  for (const std::string& id : draft->jobs) {
+    const JobEntry* job = FindJob(id);
+    txn.conditions.emplace_back(JobKey(id), job == nullptr ? 0 : job->version);
+  }
+  if (draft->progress) {
+    p.progress_dirty = false;
+    p.progress_at = now + FromSeconds(s_.op.progress_period_s());
+  }
+  counters_.puts += txn.writes.size();
+  ++counters_.commits;
+  p.committing = true;
+  auto shared = std::make_shared<Draft>(std::move(*draft));
+  auto writes = std::make_shared<std::vector<StateWrite>>(txn.writes);
+  bool had_fence = p.fence;
+  p.fence = false;
+  Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kCommitTimeout,
+       [this, part, shared, writes, had_fence, claim = p.my_claim](Micros t, int status,
+                                                        const std::string& body) {
+         Part& q = parts_[static_cast<size_t>(part)];
+         std::optional<wire::TxnReply> reply;
+         if (status == 200 || status == 409) reply = wire::DecodeTxnReply(body);
+         if (reply) state_ok_ = t;
+         bool current = q.mine && q.my_claim == claim;
+         if (current) q.committing = false;
+         if (status == 200 && reply) {
+           for (const StateWrite& w : *writes) ApplyPut(t, w.key, w.value, reply->revision);
+           if (current) OnCommitted(t, part, *shared, reply->revision);
+           return;
+         }
+         if (!current) return;
+         q.dirty = true;
+         q.fence = q.fence || had_fence;
+         if (shared->progress) q.progress_dirty = true;
+         if (status == 409) {
+           // The view is behind; the watch is about to tell. The claim itself
+           // may be gone, which the watch or a sibling tells as well.
+           ++counters_.commit_conflicts;
+           ++q.conflicts;
+           q.not_before = t + std::min<Micros>(200 * kMilli, (10 * kMilli) << std::min(q.conflicts, 5));
+           if (reply) {
+             for (const std::string& key : reply->failed) {
+               if (ParseKey(key).kind == Key::Kind::kJob) FetchJob(t, ParseKey(key).id);
+             }
+           }
+         } else {
+           // Unknown: the next round commits on the same stamps, and so either
+           // voids this transaction or learns that it applied.
+           if (status == kNoAnswer) ++counters_.commit_unknown;
+           if (status == 429) write_budget_.Drain(t);
+           q.not_before = t + 200 * kMilli;
+         }
+       });
+}
+
+void Core::OnCommitted(Micros now, int part, const Draft& draft, uint64_t revision) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  p.cleanup = false;
+  p.conflicts = 0;
+  p.dirty = true;
+  if (draft.fence) {
+    for (const auto& [name, m] : p.roster.machines) {
+      MachineInfo& info = machines_[name];
+      if (info.need_token <= TokenOf(part, info)) continue;
+      ++counters_.fences;
+      info.fence = revision;
+      info.need_token = revision;
+      Push(now, part, name);
+    }
+  }
+  std::set<std::string> touched;
+  for (const auto& [machine, a] : draft.started) {
+    auto it = attempts_.find(a);
+    if (it == attempts_.end() || it->second.gone) continue;
+    it->second.fresh = true;
+    it->second.placed_at = now;
+    touched.insert(machine);
+  }
+  counters_.takes += draft.others.empty() ? 0 : 1;
+  for (const std::string& name : touched) Push(now, part, name);
+  for (const std::string& id : draft.hires) SendHire(now, part, id);
+  SendReturns(now, part);
+}
+
+}  // namespace troutlink
--- /dev/null
+++ b/src/core/workers.cc
@@ -0,0 +1,432 @@
+// Workers: reports, what they prove, and the orders that answer them.
+#include <algorithm>
+
+#include "base/ids.h"
+#include "core/core.h"
+
+namespace troutlink {
+
+namespace {
+constexpr Micros kCommandTimeout = 2 * kSecond;
+constexpr Micros kRedirectMemory = 15 * kSecond;
+constexpr Micros kRelayFor = 20 * kSecond;
+constexpr Micros kGraceSlack = 3 * kSecond;
+}  // namespace
+
+uint64_t Core::TokenOf(int part, const MachineInfo& info) const {
+  return std::max(parts_[static_cast<size_t>(part)].my_claim, info.fence);
+}
+
+bool Core::JobOver(const std::string& job) const {
+  const JobEntry* entry = FindJob(job);
+  return entry == nullptr || entry->record.state != JobState::kOpen ||
+         heard_cancels_.count(job) != 0;
+}
+
+void Core::AnswerReport(uint64_t request, const std::string& relay_from, uint64_t relay_id,
+                        int status, std::string body) {
+  if (relay_from.empty()) {
+    Answer(request, status, std::move(body));
+  } else {
+    out_.peers.push_back(
+        {relay_from, mesh::RelayReply{relay_id, static_cast<uint64_t>(status), std::move(body)}});
+  }
+}
+
+void Core::OnReport(Micros now, uint64_t request, const std::string& relay_from,
+                    uint64_t relay_id, const std::string& body) {
+  ++counters_.reports;
+  std::optional<Report> report = wire::DecodeReport(body);
+  if (!report) {
+    AnswerReport(request, relay_from, relay_id, 400, wire::EncodeError("malformed report"));
+    return;
+  }
+  if (!synced_ && view_at_ == 0) {
+    AnswerReport(request, relay_from, relay_id, 503, wire::EncodeError("not ready"));
+    return;
+  }
+  int part = PartOfMachine(report->machine);
+  bool in_roster = part >= 0;
+  if (!in_roster) {
+    part = static_cast<int>(StableHash(report->machine) % parts_.size());
+    // Kept by every node: the one that rented it may learn its name any moment.
+    if (unknown_.size() < 1000 || unknown_.count(report->machine) != 0) {
+      unknown_[report->machine] = *report;
+    }
+    stray_since_.try_emplace(report->machine, now);
+    if (parts_[static_cast<size_t>(part)].mine) {
+      Touch(part);
+      AnswerReport(request, relay_from, relay_id, 503, wire::EncodeError("not adopted yet"));
+      return;
+    }
+  }
+  Part& p = parts_[static_cast<size_t>(part)];
+  bool superseded = p.rival_claim > p.my_claim;
+  if (!in_roster || superseded || p.my_claim == 0) {
+    std::string owner = OwnerLabel(part);
+    if (owner == s_.label) owner.clear();
+    if (!relay_from.empty() || owner.empty()) {
+      ++counters_.redirects;
+      AnswerReport(request, relay_from, relay_id, owner.empty() ? 503 : 421,
+                   wire::EncodeReportTo(owner));
+      return;
+    }
+    MachineInfo& info = machines_[report->machine];
+    bool came_back = info.redirected_to == owner && now - info.redirected_at < kRedirectMemory &&
+                     now - info.redirected_at > kSecond;
+    auto peer = peers_.find(owner);
+    bool reachable = peer != peers_.end() && now - peer->second.heard < 2 * kSecond;
+    if (came_back && reachable) info.relay_until = now + kRelayFor;
+    if (now < info.relay_until && reachable) {
+      // The worker cannot reach its owner, but we can.
+      ++counters_.relays;
+      uint64_t id = next_relay_++;
+      relays_[id] = {request, now};
+      out_.peers.push_back({owner, mesh::Relay{id, body}});
+      return;
+    }
+    info.redirected_at = now;
+    info.redirected_to = owner;
+    ++counters_.redirects;
+    AnswerReport(request, relay_from, relay_id, 421, wire::EncodeReportTo(owner));
+    return;
+  }
+  auto machine = p.roster.machines.find(report->machine);
+  if (machine == p.roster.machines.end()) {
+    AnswerReport(request, relay_from, relay_id, 503, wire::EncodeError("not adopted yet"));
+    return;
+  }
+  MachineInfo& info = machines_[report->machine];
+  uint64_t token = TokenOf(part, info);
+  if (report->token > token) {
+    // Somebody is entitled who knows more than we do.
+    ++counters_.redirects;
+    AnswerReport(request, relay_from, relay_id, 421, wire::EncodeReportTo(""));
+    return;
+  }
+  if (!MayRenew(now)) {
+    AnswerReport(request, relay_from, relay_id, 503,
+                 wire::EncodeError("cut off from the state service"));
+    return;
+  }
+  std::vector<Command> orders;
+  if (TakeReport(now, part, machine->second, *report, false)) {
+    orders = MakeOrders(now, part, machine->second, *report);
+  } else if (report->session != info.session) {
+    // Late, from a session that is over.
+    AnswerReport(request, relay_from, relay_id, 503, wire::EncodeError("old session"));
+    return;
+  }
+  AnswerReport(request, relay_from, relay_id, 200, wire::EncodeReportReply(token, orders));
+}
+
+void Core::TouchImage(MachineInfo* info, const std::string& type_name, const std::string& image,
+                      double gb, Micros now) {
+  info->images[image] = now;
+  info->image_gb[image] = gb;
+  const MachineType* type = TypeOf(type_name);
+  if (type == nullptr) return;
+  // The machine keeps the most recently used ones: forget what no longer fits.
+  while (info->images.size() > 1) {
+    double sum = 0;
+    for (const auto& [name, size] : info->image_gb) sum += size;
+    if (sum <= type->cache_gb) break;
+    auto oldest = std::min_element(info->images.begin(), info->images.end(),
+                                   [](const auto& a, const auto& b) { return a.second < b.second; });
+    info->image_gb.erase(oldest->first);
+    info->images.erase(oldest);
+  }
+}
+
+// Learns from a report or from the answer to a direct command. False when it
+// is not newer than what is known.
+bool Core::TakeReport(Micros now, int part, const RosterMachine& machine, const Report& report,
+                      bool direct) {
+  MachineInfo& info = machines_[machine.name];
+  bool first = info.session == 0;
+  if (!first && (report.session < info.session ||
+                 (report.session == info.session && report.seq <= info.seq))) {
+    if (report.session == info.session) info.heard = now;
+    return false;
+  }
+  bool new_session = !first && report.session > info.session;
+  info.session = report.session;
+  info.seq = report.seq;
+  info.token_seen = std::max(info.token_seen, report.token);
+  info.heard = now;
+  info.probe = false;
+  if (info.first_heard == 0) info.first_heard = now;
+  if (!report.addr.empty()) info.addr = report.addr;
+  if (report.notice) {
+    if (info.notice_end == 0) Touch(part);
+    info.notice_end = now + *report.notice;
+  }
+  info.tasks = report.tasks;
+  // An absence is a proof only once commands of earlier owners, and commands
+  // of ours without an answer, can no longer run: the worker saw a token above
+  // theirs.
+  const bool clean = report.token >= info.need_token;
+  std::map<Attempt, const TaskReport*> have;
+  for (const TaskReport& t : report.tasks) have[{t.job, t.task, t.attempt}] = &t;
+  for (const Attempt& a : machine.attempts) {
+    auto it = attempts_.find(a);
+    if (it == attempts_.end() || it->second.gone) continue;
+    AttemptInfo& at = it->second;
+    auto found = have.find(a);
+    if (found != have.end()) {
+      const TaskReport& t = *found->second;
+      if (!at.seen) {
+        at.seen = true;
+        if (at.session == 0) at.session = report.session;
+      }
+      if (t.state == TaskState::kRunning && at.running_at == 0) at.running_at = now;
+      at.state = t.state;
+      if (t.state != TaskState::kFetching) {
+        if (const JobEntry* job = FindJob(a.job)) {
+          if (!job->record.spec.image.empty()) {
+            TouchImage(&info, machine.type, job->record.spec.image, job->record.spec.image_gb, now);
+          }
+        }
+      }
+      if (t.state == TaskState::kExited) TaskExited(now, part, machine, a, &at, t);
+      continue;
+    }
+    // Not in the report.
+    if (new_session && at.session != 0 && at.session < report.session) {
+      MarkGone(now, part, a, &at);  // a new session begins without tasks
+      continue;
+    }
+    if (direct || at.direct || !clean) continue;
+    if (at.seen) {
+      MarkGone(now, part, a, &at);
+    } else if (!at.fresh) {
+      MarkGone(now, part, a, &at);  // inherited, and never started
+    } else if ((JobOver(a.job) || at.stopping) &&
+               (at.reply_seq == 0 || at.reply_seq < report.seq)) {
+      // Decided but never started, and no longer wanted. A start in a reply to
+      // an earlier report was taken or dropped before this report was made.
+      MarkGone(now, part, a, &at);
+    }
+  }
+  Touch(part);
+  return true;
+}
+
+void Core::MarkGone(Micros now, int part, const Attempt& attempt, AttemptInfo* info) {
+  if (info->gone) return;
+  info->gone = true;
+  ++counters_.gone;
+  parts_[static_cast<size_t>(part)].cleanup = true;
+  Touch(part);
+  auto run = runs_.find(attempt.job);
+  if (run == runs_.end()) return;
+  JobRun& r = run->second;
+  auto i = static_cast<size_t>(attempt.task);
+  if (i < r.tasks.size() && r.tasks[i] == kPlaced) {
+    r.tasks[i] = kWaiting;
+    --r.placed;
+    r.hint = std::min(r.hint, attempt.task);
+  }
+  (void)now;
+}
+
+void Core::TaskExited(Micros now, int part, const RosterMachine& machine, const Attempt& attempt,
+                      AttemptInfo* info, const TaskReport& task) {
+  auto run = runs_.find(attempt.job);
+  MarkGone(now, part, attempt, info);
+  MachineInfo& mi = machines_[machine.name];
+  switch (task.why) {
+    case ExitReason::kDone:
+      health_.Succeeded(machine.name, attempt.job);
+      if (run != runs_.end()) {
+        JobRun& r = run->second;
+        const JobEntry* job = FindJob(attempt.job);
+        auto i = static_cast<size_t>(attempt.task);
+        if (job != nullptr && job->record.spec.kind == JobKind::kArray && i < r.tasks.size() &&
+            r.tasks[i] != kDone) {
+          r.tasks[i] = kDone;
+          ++r.done;
+          if (info->running_at != 0) r.durations.push_back(now - info->running_at);
+          parts_[static_cast<size_t>(part)].progress_dirty = true;
+        }
+      }
+      break;
+    case ExitReason::kError:
+    case ExitReason::kUnknown:
+      if (!JobOver(attempt.job)) health_.Failed(now, machine.name, attempt.job);
+      Log(LogLine::Level::kDebug, "failed: " + attempt.job + "/" + std::to_string(attempt.task) +
+                                      " on " + machine.name);
+      break;
+    case ExitReason::kNoRoom:
+      mi.avoid_until = now + 3 * kSecond;
+      break;
+    case ExitReason::kStopped:
+    case ExitReason::kBusy:
+    case ExitReason::kNone:
+      break;
+  }
+}
+
+void Core::StopAttempt(Micros now, const Attempt& attempt, AttemptInfo* info, Micros grace) {
+  (void)attempt;
+  if (info->stopping && info->grace <= grace) return;
+  if (!info->stopping) info->stop_at = now;
+  info->stopping = true;
+  info->grace = grace;
+  info->stop_sent = false;
+  ++counters_.stops;
+}
+
+std::vector<Command> Core::MakeOrders(Micros now, int part, const RosterMachine& machine,
+                                      const Report& report) {
+  std::vector<Command> orders;
+  Part& p = parts_[static_cast<size_t>(part)];
+  MachineInfo& info = machines_[machine.name];
+  const bool clean = report.token >= info.need_token;
+  std::set<Attempt> reported;
+  for (const TaskReport& t : report.tasks) {
+    Attempt a{t.job, t.task, t.attempt};
+    reported.insert(a);
+    auto it = attempts_.find(a);
+    bool ours = it != attempts_.end() && !it->second.gone && it->second.machine == machine.name;
+    if (t.state == TaskState::kExited) {
+      // After the reap a repeated start would run it once more, so it waits
+      // until no start of ours can still be under way.
+      if (clean && (it == attempts_.end() || !it->second.direct)) {
+        orders.push_back({Command::Op::kForget, t.job, t.task, t.attempt, 0});
+      }
+      continue;
+    }
+    if (!ours) {
+      // Intended by nobody: its record was removed when it was proven gone, or
+      // the machine was taken over from a past that nobody remembers.
+      if (p.mine) orders.push_back({Command::Op::kStop, t.job, t.task, t.attempt, 0});
+      continue;
+    }
+    AttemptInfo& at = it->second;
+    if (JobOver(t.job)) StopAttempt(now, a, &at, 0);
+    if (at.stopping) {
+      bool overdue = t.state == TaskState::kSaving && now - at.stop_at > 2 * at.grace + kGraceSlack;
+      if (t.state != TaskState::kSaving || overdue || at.grace == 0) {
+        orders.push_back(
+            {Command::Op::kStop, t.job, t.task, t.attempt, overdue ? 0 : at.grace});
+        at.stop_sent = true;
+      }
+    }
+  }
+  // Starts whose command got lost.
+  if (!p.mine) return orders;
+  for (const Attempt& a : machine.attempts) {
+    if (reported.count(a) != 0) continue;
+    auto it = attempts_.find(a);
+    if (it == attempts_.end()) continue;
+    AttemptInfo& at = it->second;
+    if (!at.fresh || at.gone || at.seen || at.direct || at.stopping || JobOver(a.job)) continue;
+    if (!clean) continue;
+    if (at.session != 0 && at.session != report.session) continue;
+    at.session = report.session;
+    at.reply_seq = report.seq;
+    ++counters_.starts;
+    orders.push_back({Command::Op::kStart, a.job, a.task, a.number, 0});
+  }
+  return orders;
+}
+
+// Sends what a machine has to hear now instead of waiting for its next report.
+void Core::Push(Micros now, int part, const std::string& name) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  auto machine = p.roster.machines.find(name);
+  if (machine == p.roster.machines.end() || !p.mine) return;
+  MachineInfo& info = machines_[name];
+  if (info.direct_busy || info.addr.empty() || now < info.no_direct_before) return;
+  if (info.session == 0) {
+    Probe(now, part, name);
+    return;
+  }
+  if (!MayRenew(now)) return;
+  const bool clean = info.token_seen >= info.need_token;
+  std::vector<Command> orders;
+  std::vector<Attempt> started;
+  for (const Attempt& a : machine->second.attempts) {
+    auto it = attempts_.find(a);
+    if (it == attempts_.end() || it->second.gone) continue;
+    AttemptInfo& at = it->second;
+    bool over = JobOver(a.job);
+    if (at.seen && (at.stopping || over) && !at.stop_sent) {
+      if (over) StopAttempt(now, a, &at, 0);
+      orders.push_back({Command::Op::kStop, a.job, a.task, a.number, at.grace});
+      at.stop_sent = true;
+    } else if (at.fresh && !at.seen && !at.stopping && !over && at.session == 0 && clean) {
+      at.direct = true;
+      at.session = info.session;
+      started.push_back(a);
+      ++counters_.starts;
+      orders.push_back({Command::Op::kStart, a.job, a.task, a.number, 0});
+    }
+  }
+  // After a takeover the worker may still report to the owner before us: our
+  // token makes it look for the right one.
+  bool show_token = info.token_seen < TokenOf(part, info);
+  if (orders.empty() && !show_token) return;
+  info.direct_busy = true;
+  uint64_t token = TokenOf(part, info);
+  Send(Dest::kWorker, info.addr, "POST", std::string(wire::kCommandsPath),
+       wire::EncodeCommands(token, info.session, orders), kCommandTimeout,
+       [this, part, name, token, started, claim = p.my_claim](Micros t, int status,
+                                                              const std::string& body) {
+         MachineInfo& mi = machines_[name];
+         mi.direct_busy = false;
+         for (const Attempt& a : started) {
+           auto it = attempts_.find(a);
+           if (it != attempts_.end()) it->second.direct = false;
+         }
+         std::optional<Report> report;
+         if (status == 200 || status == 409) report = wire::DecodeReport(body);
+         if (status != kNotSent && !report) {
+           // It may run at any later time with this token: nothing on the
+           // machine proves anything until the worker has seen a higher one.
+           ++counters_.worker_unknown;
+           mi.need_token = std::max(mi.need_token, token + 1);
+           parts_[static_cast<size_t>(part)].fence = true;
+           Touch(part);
+         }
+         if (!report) {
+           mi.no_direct_before = t + (kSecond << std::min(mi.direct_failures, 4));
+           ++mi.direct_failures;
+           return;
+         }
+         mi.direct_failures = 0;
+         Part& q = parts_[static_cast<size_t>(part)];
+         if (!q.mine || q.my_claim != claim) return;
+         auto m = q.roster.machines.find(name);
+         if (m == q.roster.machines.end() || report->machine != name) return;
+         TakeReport(t, part, m->second, *report, true);
+         if (status == 200) Push(t, part, name);
+       });
+}
+
+void Core::Probe(Micros now, int part, const std::string& name) {
+  MachineInfo& info = machines_[name];
+  if (info.direct_busy || info.addr.empty() || now < info.no_direct_before) return;
+  info.direct_busy = true;
+  Send(Dest::kWorker, info.addr, "GET", std::string(wire::kShowPath), "", kCommandTimeout,
+       [this, part, name](Micros t, int status, const std::string& body) {
+         MachineInfo& mi = machines_[name];
+         mi.direct_busy = false;
+         std::optional<Report> report;
+         if (status == 200) report = wire::DecodeReport(body);
+         if (!report || report->machine != name) {
+           mi.no_direct_before = t + (kSecond << std::min(mi.direct_failures, 4));
+           ++mi.direct_failures;
+           return;
+         }
+         mi.direct_failures = 0;
+         Part& q = parts_[static_cast<size_t>(part)];
+         auto m = q.roster.machines.find(name);
+         if (!q.mine || m == q.roster.machines.end()) return;
+         TakeReport(t, part, m->second, *report, true);
+         Push(t, part, name);
+       });
+}
+
+}  // namespace troutlink
--- /dev/null
+++ b/src/mesh/codec.cc
@@ -0,0 +1,159 @@
+#include "mesh/codec.h"
+
+namespace troutlink::mesh {
+namespace {
+
+constexpr uint64_t kMostItems = 100000;
+
+void PutText(std::string* out, std::string_view s) {
+  PutVarint(out, s.size());
+  out->append(s);
+}
+
+bool GetText(std::string_view* in, std::string* s) {
+  uint64_t n = 0;
+  if (!GetVarint(in, &n) || n > in->size()) return false;
+  s->assign(in->substr(0, n));
+  in->remove_prefix(n);
+  return true;
+}
+
+bool GetLength(std::string_view* in, uint64_t* n) {
+  // Every item takes at least a byte: a longer list is a lie.
+  return GetVarint(in, n) && *n <= in->size() && *n <= kMostItems;
+}
+
+void PutGossip(std::string* out, const Gossip& g) {
+  PutVarint(out, g.seq);
+  PutVarint(out, g.boot);
+  PutVarint(out, g.uptime_us);
+  PutVarint(out, g.state_age_us);
+  PutVarint(out, g.claims.size());
+  for (const PartClaim& c : g.claims) {
+    PutVarint(out, c.part);
+    PutVarint(out, c.revision);
+    PutText(out, c.owner);
+  }
+  PutVarint(out, g.cancels.size());
+  for (const std::string& c : g.cancels) PutText(out, c);
+  PutVarint(out, g.wanted.size());
+  for (uint64_t p : g.wanted) PutVarint(out, p);
+}
+
+bool GetGossip(std::string_view* in, Gossip* g) {
+  uint64_t n = 0;
+  if (!GetVarint(in, &g->seq) || !GetVarint(in, &g->boot) || !GetVarint(in, &g->uptime_us) ||
+      !GetVarint(in, &g->state_age_us) || !GetLength(in, &n)) {
+    return false;
+  }
+  g->claims.resize(n);
+  for (PartClaim& c : g->claims) {
+    if (!GetVarint(in, &c.part) || !GetVarint(in, &c.revision) || !GetText(in, &c.owner)) {
+      return false;
+    }
+  }
+  if (!GetLength(in, &n)) return false;
+  g->cancels.resize(n);
+  for (std::string& c : g->cancels) {
+    if (!GetText(in, &c)) return false;
+  }
+  if (!GetLength(in, &n)) return false;
+  g->wanted.resize(n);
+  for (uint64_t& p : g->wanted) {
+    if (!GetVarint(in, &p)) return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+void PutVarint(std::string* out, uint64_t v) {
+  while (v >= 0x80) {
+    out->push_back(static_cast<char>((v & 0x7f) | 0x80));
+    v >>= 7;
+  }
+  out->push_back(static_cast<char>(v));
+}
+
+bool GetVarint(std::string_view* in, uint64_t* v) {
+  *v = 0;
+  for (int shift = 0; shift < 64; shift += 7) {
+    if (in->empty()) return false;
+    uint8_t b = static_cast<uint8_t>(in->front());
+    in->remove_prefix(1);
+    if (shift == 63 && b > 1) return false;
+    *v |= static_cast<uint64_t>(b & 0x7f) << shift;
+    if ((b & 0x80) == 0) return true;
+  }
+  return false;
+}
+
+std::string Encode(const Message& message) {
+  std::string body;
+  PutVarint(&body, message.index());
+  if (const auto* ping = std::get_if<Ping>(&message)) {
+    PutGossip(&body, *ping);
+  } else if (const auto* pong = std::get_if<Pong>(&message)) {
+    PutGossip(&body, *pong);
+  } else if (const auto* relay = std::get_if<Relay>(&message)) {
+    PutVarint(&body, relay->id);
+    PutText(&body, relay->body);
+  } else if (const auto* reply = std::get_if<RelayReply>(&message)) {
+    PutVarint(&body, reply->id);
+    PutVarint(&body, reply->status);
+    PutText(&body, reply->body);
+  }
+  std::string out;
+  PutVarint(&out, body.size());
+  return out + body;
+}
+
+std::optional<Message> Decode(std::string_view in) {
+  uint64_t kind = 0;
+  if (!GetVarint(&in, &kind)) return std::nullopt;
+  switch (kind) {
+    case 0: {
+      Ping m;
+      if (GetGossip(&in, &m)) return m;
+      break;
+    }
+    case 1: {
+      Pong m;
+      if (GetGossip(&in, &m)) return m;
+      break;
+    }
+    case 2: {
+      Relay m;
+      if (GetVarint(&in, &m.id) && GetText(&in, &m.body)) return m;
+      break;
+    }
+    case 3: {
+      RelayReply m;
+      if (GetVarint(&in, &m.id) && GetVarint(&in, &m.status) && GetText(&in, &m.body)) return m;
+      break;
+    }
+    default:
+      break;
+  }
+  return std::nullopt;
+}
+
+bool Framer::Next(std::string* frame, bool* bad) {
+  *bad = false;
+  std::string_view in = buffer_;
+  uint64_t n = 0;
+  if (!GetVarint(&in, &n)) {
+    *bad = buffer_.size() >= 10;
+    return false;
+  }
+  if (n > kMostFrame) {
+    *bad = true;
+    return false;
+  }
+  if (in.size() < n) return false;
+  frame->assign(in.substr(0, n));
+  buffer_.erase(0, buffer_.size() - in.size() + n);
+  return true;
+}
+
+}  // namespace troutlink::mesh
--- /dev/null
+++ b/src/mesh/codec.h
@@ -0,0 +1,80 @@
+// What the controllers say to each other, in the project's own varint codec.
+//
+// A frame is varint(length) and that many bytes: varint(kind), then the
+// message's fields in order. Integers are LEB128 varints, texts and lists are
+// preceded by their length. Unknown kinds are skipped by receivers.
+#ifndef TROUTLINK_MESH_CODEC_H_
+#define TROUTLINK_MESH_CODEC_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace troutlink::mesh {
+
+inline constexpr size_t kMostFrame = 256 * 1024;
+
+struct PartClaim {
+  uint64_t part = 0;
+  uint64_t revision = 0;
+  std::string owner;
+  bool operator==(const PartClaim&) const = default;
+};
+
+// Sent a few times a second to every sibling; a Pong answers each.
+struct Gossip {
+  uint64_t seq = 0;        // of the ping, echoed by the pong
+  uint64_t boot = 0;       // drawn anew at every start of the process
+  uint64_t uptime_us = 0;
+  uint64_t state_age_us = 0;  // since the state service last answered us
+  std::vector<PartClaim> claims;
+  std::vector<std::string> cancels;  // accepted by the sender since its start
+  std::vector<uint64_t> wanted;      // parts the sender would like handed back
+  bool operator==(const Gossip&) const = default;
+};
+
+struct Ping : Gossip {};
+struct Pong : Gossip {};
+
+// A worker's report that reached a node which does not own the machine and
+// that the worker could not take to the owner itself.
+struct Relay {
+  uint64_t id = 0;
+  std::string body;
+  bool operator==(const Relay&) const = default;
+};
+struct RelayReply {
+  uint64_t id = 0;
+  uint64_t status = 0;
+  std::string body;
+  bool operator==(const RelayReply&) const = default;
+};
+
+using Message = std::variant<Ping, Pong, Relay, RelayReply>;
+
+void PutVarint(std::string* out, uint64_t v);
+// Advances `in`; false when it ends early or does not fit 64 bits.
+bool GetVarint(std::string_view* in, uint64_t* v);
+
+// One frame, its length included.
+std::string Encode(const Message& message);
+// The content of a frame without its length.
+std::optional<Message> Decode(std::string_view frame);
+
+// Cuts a byte stream into frames.
+class Framer {
+ public:
+  void Feed(std::string_view bytes) { buffer_.append(bytes); }
+  // False when there is no whole frame; `*bad` tells a stream of no use.
+  bool Next(std::string* frame, bool* bad);
+
+ private:
+  std::string buffer_;
+};
+
+}  // namespace troutlink::mesh
+
+#endif  // TROUTLINK_MESH_CODEC_H_
--- /dev/null
+++ b/src/runtime/client.h
@@ -0,0 +1,81 @@
+// HTTP client over pools of kept connections, one request at a time on each.
+#ifndef TROUTLINK_RUNTIME_CLIENT_H_
+#define TROUTLINK_RUNTIME_CLIENT_H_
+
+#include <ev.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config/settings.h"
+#include "core/io.h"
+#include "http/message.h"
+
+namespace troutlink::runtime {
+
+class Client {
+ public:
+  // Called from the loop, never from within Start().
+  using Done = std::function<void(uint64_t call, int status, std::string body)>;
+
+  Client(struct ev_loop* loop, Done done) : loop_(loop), done_(std::move(done)) {}
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  // `most` connections to this endpoint at a time; further calls queue.
+  void Start(const Endpoint& to, int most, const Call& call);
+  // Ends what ran out of time; a few times a second.
+  void Tick(Micros now);
+  size_t connections() const { return connections_.size(); }
+
+ private:
+  struct Connection {
+    Client* owner = nullptr;
+    std::string endpoint;
+    int fd = -1;
+    bool connecting = false;
+    bool busy = false;
+    uint64_t call = 0;
+    Micros deadline = 0;
+    Micros opened = 0;
+    Micros idle_since = 0;
+    std::string out;
+    size_t sent = 0;
+    http::Parser parser{http::Parser::Kind::kResponse, {16 * 1024, 64u * 1024 * 1024}};
+    ev_io io{};
+  };
+  struct Waiting {
+    Call call;
+    Micros deadline = 0;
+  };
+  struct Pool {
+    Endpoint to;
+    int most = 1;
+    std::vector<Connection*> all;
+    std::deque<Waiting> waiting;
+  };
+
+  static void OnIo(struct ev_loop* loop, ev_io* w, int events);
+  void Handle(Connection* c, int events);
+  void Pump(Pool* pool);
+  void Assign(Connection* c, Waiting waiting);
+  void Write(Connection* c);
+  void Finish(Connection* c, int status, std::string body, bool keep);
+  void Drop(Connection* c);
+  void Watch(Connection* c, int events);
+
+  struct ev_loop* loop_;
+  Done done_;
+  std::map<std::string, Pool> pools_;
+  std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+};
+
+}  // namespace troutlink::runtime
+
+#endif  // TROUTLINK_RUNTIME_CLIENT_H_
--- /dev/null
+++ b/src/runtime/server.h
@@ -0,0 +1,68 @@
+// HTTP server: bounded connections, one request at a time on each.
+#ifndef TROUTLINK_RUNTIME_SERVER_H_
+#define TROUTLINK_RUNTIME_SERVER_H_
+
+#include <ev.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "config/settings.h"
+#include "core/io.h"
+#include "http/message.h"
+
+namespace troutlink::runtime {
+
+class Server {
+ public:
+  using OnRequest = std::function<void(Request request)>;
+
+  Server(struct ev_loop* loop, size_t most, OnRequest on_request)
+      : loop_(loop), most_(most), on_request_(std::move(on_request)) {}
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  bool Open(const Endpoint& at);
+  // Replies to requests whose connection is gone are dropped.
+  void Send(const Reply& reply);
+  // Closes connections that stalled or idled too long.
+  void Tick(Micros now);
+  size_t connections() const { return connections_.size(); }
+
+ private:
+  struct Connection {
+    Server* owner = nullptr;
+    int fd = -1;
+    uint64_t request = 0;  // being answered
+    bool close_after = false;
+    Micros last = 0;       // last byte in or out
+    std::string out;
+    size_t sent = 0;
+    http::Parser parser{http::Parser::Kind::kRequest, {8 * 1024, 64 * 1024}};
+    ev_io io{};
+  };
+
+  static void OnAccept(struct ev_loop* loop, ev_io* w, int events);
+  static void OnIo(struct ev_loop* loop, ev_io* w, int events);
+  void Handle(Connection* c, int events);
+  void Parse(Connection* c);
+  bool Write(Connection* c);
+  void Drop(Connection* c);
+  void Watch(Connection* c);
+
+  struct ev_loop* loop_;
+  size_t most_;
+  OnRequest on_request_;
+  int listener_ = -1;
+  ev_io accept_{};
+  uint64_t next_request_ = 1;
+  std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+  std::unordered_map<uint64_t, Connection*> requests_;
+};
+
+}  // namespace troutlink::runtime
+
+#endif  // TROUTLINK_RUNTIME_SERVER_H_
