--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -35,7 +35,7 @@
     }
   }
   if (!fits) return "no allowed machine type has room for a task";
-  int64_t n = spec.kind == JobKind::kService ? spec.tasks : 1;
+  int64_t n = spec.kind == JobKind::kArray ? 1 : spec.tasks;
   if ((team->cpus_max > 0 && n * spec.each.cpus > team->cpus_max) ||
       (team->gpus_max > 0 && n * spec.each.gpus > team->gpus_max)) {
     return "more than the team's limit";
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -29,7 +29,7 @@
   run.tasks.assign(static_cast<size_t>(entry.record.spec.tasks), kWaiting);
   const Progress& progress = parts_[static_cast<size_t>(part)].progress;
   auto it = progress.find(id);
-  if (it != progress.end() && entry.record.spec.kind == JobKind::kArray) {
+  if (it != progress.end() && entry.record.spec.kind != JobKind::kService) {
     for (int task : it->second) {
       if (static_cast<size_t>(task) < run.tasks.size() &&
           run.tasks[static_cast<size_t>(task)] != kDone) {
@@ -264,10 +264,12 @@
     if (job == nullptr || JobOver(id)) continue;
     const JobSpec& spec = job->record.spec;
     int left = static_cast<int>(run.tasks.size()) - run.done - run.placed;
-    if (spec.kind == JobKind::kArray) {
+    if (spec.kind != JobKind::kService) {
       array_cpus += static_cast<double>((left + run.placed) * spec.each.cpus);
     }
     if (left <= 0 || now < health_.NextStart(id)) continue;
+    // A gang starts whole: those that are left of a broken one leave first.
+    if (spec.kind == JobKind::kGang && run.placed > 0) continue;
     const Team* team = FindTeam(spec.team);
     if (team == nullptr) continue;
     bool within = team->cpus > 0 && everywhere[spec.team].cpus + spec.each.cpus <= team->cpus;
@@ -297,11 +299,13 @@
     bool tail = draft->roster.helps.count(spec.id) != 0;
     JobSpread& spread = draft->SpreadOf(spec.id);
     bool asked_share = false;
+    const bool gang = spec.kind == JobKind::kGang;
+    std::unique_ptr<Draft> before = gang ? std::make_unique<Draft>(*draft) : nullptr;
     int left = w.tasks;
     bool no_machine = false;
     for (size_t i = static_cast<size_t>(w.run->hint); i < w.run->tasks.size() && left > 0; ++i) {
       if (w.run->tasks[i] != kWaiting) continue;
-      if (started >= batch) break;
+      if (started >= batch && !gang) break;
       if (!WithinShare(team, ShareOf(draft->roster, team, part, s_.parts()), used, spec.each)) {
         if (asked_share) break;
         asked_share = true;
@@ -331,7 +335,10 @@
       }
       used.cpus += spec.each.cpus;
       used.gpus += spec.each.gpus;
-      Attempt a{spec.id, static_cast<int>(i), draft->roster.next_number++};
+      // The tasks of a gang find each other by a common attempt.
+      Attempt a{spec.id, static_cast<int>(i),
+                gang && left < w.tasks ? draft->roster.next_number - 1
+                                       : draft->roster.next_number++};
       draft->roster.machines[machine.name].attempts.push_back(a);
       draft->started.emplace_back(machine.name, a);
       draft->jobs.insert(spec.id);
@@ -343,6 +350,11 @@
       --left;
       draft->urgent = true;
     }
+    if (gang && left > 0) {
+      *draft = std::move(*before);
+      if (no_machine) draft->unmet.push_back({&spec, w.tasks, tail});
+      continue;
+    }
     if (no_machine && left > 0) {
       draft->unmet.push_back({&spec, left, tail});
       if (spec.priority == Priority::kProduction) DraftPreemption(now, part, draft, spec);
--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -155,7 +155,12 @@
   info.token_seen = std::max(info.token_seen, report.token);
   info.heard = now;
   info.probe = false;
-  if (info.first_heard == 0) info.first_heard = now;
+  if (info.first_heard == 0) {
+    // It has just booted: what failed before then says nothing.
+    info.first_heard = now;
+    info.no_direct_before = 0;
+    info.direct_failures = 0;
+  }
   if (!report.addr.empty()) info.addr = report.addr;
   if (report.notice) {
     if (info.notice_end == 0) Touch(part);
@@ -242,7 +247,7 @@
         JobRun& r = run->second;
         const JobEntry* job = FindJob(attempt.job);
         auto i = static_cast<size_t>(attempt.task);
-        if (job != nullptr && job->record.spec.kind == JobKind::kArray && i < r.tasks.size() &&
+        if (job != nullptr && job->record.spec.kind != JobKind::kService && i < r.tasks.size() &&
             r.tasks[i] != kDone) {
           r.tasks[i] = kDone;
           ++r.done;
@@ -260,6 +265,7 @@
     case ExitReason::kNoRoom:
       mi.avoid_until = now + 3 * kSecond;
       break;
+    case ExitReason::kPeers:
     case ExitReason::kStopped:
     case ExitReason::kBusy:
     case ExitReason::kNone:
@@ -391,7 +397,7 @@
            Touch(part);
          }
          if (!report) {
-           mi.no_direct_before = t + (kSecond << std::min(mi.direct_failures, 4));
+           mi.no_direct_before = t + (kSecond << std::min(mi.direct_failures, 2));
            ++mi.direct_failures;
            return;
          }
@@ -416,7 +422,7 @@
          std::optional<Report> report;
          if (status == 200) report = wire::DecodeReport(body);
          if (!report || report->machine != name) {
-           mi.no_direct_before = t + (kSecond << std::min(mi.direct_failures, 4));
+           mi.no_direct_before = t + (kSecond << std::min(mi.direct_failures, 2));
            ++mi.direct_failures;
            return;
          }
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -35,7 +35,8 @@
 inline Amount operator+(Amount a, const Amount& b) { return a += b; }
 inline Amount operator-(Amount a, const Amount& b) { return a -= b; }
 
-enum class JobKind { kArray, kService };
+// A gang's tasks only run all together; see docs/questions.md.
+enum class JobKind { kArray, kService, kGang };
 // Higher is more important.
 enum class Priority { kLow = 0, kNormal = 1, kHigh = 2, kProduction = 3 };
 
@@ -72,7 +73,7 @@
 // --- workers ---------------------------------------------------------------
 
 enum class TaskState { kFetching, kRunning, kSaving, kExited };
-enum class ExitReason { kNone, kDone, kStopped, kError, kNoRoom, kBusy, kUnknown };
+enum class ExitReason { kNone, kDone, kStopped, kError, kNoRoom, kBusy, kUnknown, kPeers };
 
 struct TaskReport {
   std::string job;
--- a/src/wire/user.cc
+++ b/src/wire/user.cc
@@ -80,8 +80,10 @@
     s.kind = JobKind::kArray;
   } else if (kind == "service") {
     s.kind = JobKind::kService;
+  } else if (kind == "gang") {
+    s.kind = JobKind::kGang;
   } else {
-    *why = "form must be array or service";
+    *why = "form must be array, gang or service";
     return std::nullopt;
   }
   if (priority == "critical") {
@@ -136,7 +138,9 @@
   Json m = {{"name_id", s.id},
             {"docket", s.job_class},
             {"owner", s.team},
-            {"form", s.kind == JobKind::kArray ? "array" : "service"},
+            {"form", s.kind == JobKind::kArray     ? "array"
+                     : s.kind == JobKind::kService ? "service"
+                                                   : "gang"},
             {"rank", kPriorities[static_cast<int>(s.priority)]},
             {"pieces", s.tasks},
             {"cpus", static_cast<double>(s.each.cpus) / 1000.0},
--- a/src/wire/worker.cc
+++ b/src/wire/worker.cc
@@ -43,6 +43,8 @@
   if (s == "no_room") return ExitReason::kNoRoom;
   if (s == "in_use") return ExitReason::kBusy;
   if (s == "no_such") return ExitReason::kUnknown;
+  // Of gangs: a mate left, or the mates did not come in time.
+  if (s == "mates_gone" || s == "alone") return ExitReason::kPeers;
   return ExitReason::kError;
 }
 
@@ -94,7 +96,8 @@
 
 std::string EncodeReport(const Report& r) {
   static const char* kStates[] = {"pulling", "running", "flushing", "ended"};
-  static const char* kReasons[] = {"", "done", "halted", "error", "no_room", "in_use", "no_such"};
+  static const char* kReasons[] = {"", "done", "halted", "error", "no_room", "in_use", "no_such",
+                                   "mates_gone"};
   Json tasks = Json::array();
   for (const TaskReport& t : r.tasks) {
     Json o = {{"piece", t.job + "/" + std::to_string(t.task)},
