--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -105,7 +105,7 @@
       m.zone = it->second.ask.zone;
       m.spot = it->second.ask.spot;
       m.helps = it->second.helps;
-      auto known = unknown_.find(name);
+      auto known = unknown_.find(name);  // it may be up already
       if (known != unknown_.end()) m.addr = known->second.addr;
       draft->roster.machines[name] = std::move(m);
     }
@@ -426,7 +426,9 @@
     info.missing = false;
     info.listed_running = m.state == ListedMachine::State::kRunning;
     info.failed = m.state == ListedMachine::State::kFailed;
-    if (info.addr.empty()) info.addr = m.addr;
+    // Of a booting machine the address is of no use yet: a call would hang, and
+    // keep the first real one waiting.
+    if (info.addr.empty() && info.listed_running) info.addr = m.addr;
   }
   for (const Part& p : parts_) {
     for (const auto& [name, m] : p.roster.machines) {
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -277,7 +277,7 @@
     if (spec.deadline > 0) key += spec.deadline;
     waiting.push_back({&spec, &run, left, within, key});
   }
-  double decay = p.peak_at == 0 ? 0 : std::max(0.0, 1.0 - ToSeconds(now - p.peak_at) / 150.0);
+  double decay = p.peak_at == 0 ? 0 : std::max(0.0, 1.0 - ToSeconds(now - p.peak_at) / 60.0);
   p.array_peak = std::max(array_cpus, p.array_peak * decay);
   p.peak_at = now;
   std::sort(waiting.begin(), waiting.end(), [](const Waiting& a, const Waiting& b) {
--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -112,6 +112,9 @@
   std::vector<Command> orders;
   if (TakeReport(now, part, machine->second, *report, false)) {
     orders = MakeOrders(now, part, machine->second, *report);
+    // Nothing is started before the worker saw our token; do not wait for its
+    // next report to learn that it did.
+    if (report->token < info.need_token) Push(now, part, report->machine);
   } else if (report->session != info.session) {
     // Late, from a session that is over.
     AnswerReport(request, relay_from, relay_id, 503, wire::EncodeError("old session"));
--- /dev/null
+++ b/tests/stories_test.cc
@@ -0,0 +1,300 @@
+// Short stories: the controllers' cores against in-memory fakes.
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+namespace troutlink::test {
+namespace {
+
+constexpr Micros kReady = 3 * kSecond;
+
+#define EXPECT_KEPT(w) EXPECT_TRUE((w).broken.empty()) << (w).broken.front()
+
+std::string Status(World& w, size_t node, const std::string& id) {
+  auto a = w.AskUntil(node, "GET", "/api/jobs/" + id);
+  return a.status == 200 ? a.body.value("status", "?") : std::to_string(a.status);
+}
+
+TEST(Stories, EachNodeClaimsItsOwnPart) {
+  World w;
+  w.Run(kReady);
+  for (int p = 0; p < 3; ++p) EXPECT_EQ(w.OwnerOf(p), p);
+}
+
+TEST(Stories, AnArrayRunsAndStaysDone) {
+  World w;
+  w.run_time["job-1"] = 3 * kSecond;
+  w.Run(kReady);
+  EXPECT_EQ(w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 6))).status,
+            201);
+  EXPECT_TRUE(w.Until([&] { return Status(w, 1, "job-1") == "done"; }, 60 * kSecond));
+  EXPECT_EQ(Status(w, 2, "job-1"), "done");
+  EXPECT_EQ(w.AskUntil(1, "POST", "/api/jobs/job-1/abort").body.value("status", ""), "done");
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, ARepeatOnAnotherNodeIsTheSameJob) {
+  World w;
+  w.Run(kReady);
+  JobSpec spec = World::Service("job-7", 2);
+  auto a = w.Submit(0, spec);
+  auto b = w.Submit(1, spec);
+  auto c = w.Submit(2, spec);
+  w.Run(kSecond);
+  int created = 0;
+  for (const auto& r : {a, b, c}) {
+    EXPECT_TRUE(r->status == 201 || r->status == 200) << r->status;
+    created += r->status == 201 ? 1 : 0;
+  }
+  EXPECT_EQ(created, 1);
+}
+
+TEST(Stories, UnknownJobsAre404AndBadOnesRefusedForGood) {
+  World w;
+  w.Run(kReady);
+  EXPECT_EQ(w.AskUntil(0, "GET", "/api/jobs/job-99").status, 404);
+  EXPECT_EQ(w.AskUntil(0, "POST", "/api/jobs/job-99/abort").status, 404);
+  EXPECT_EQ(w.AskUntil(0, "GET", "/api/jobs/nonsense").status, 404);
+  EXPECT_EQ(w.Ask(0, "POST", "/api/jobs", "\xc1")->status, 400);
+  EXPECT_EQ(w.Ask(0, "PUT", "/api/jobs", "")->status, 405);
+  JobSpec spec = World::Array("job-2", 1);
+  spec.team = "nobody";
+  EXPECT_EQ(w.Submit(0, spec)->status, 422);
+  spec = World::Array("job-3", 1);
+  spec.each.cpus = 17000;
+  EXPECT_EQ(w.Submit(0, spec)->status, 422);
+  spec = World::Service("job-4", 33);
+  spec.team = "red";
+  EXPECT_EQ(w.Submit(0, spec)->status, 422);
+}
+
+TEST(Stories, ACancelledServiceLeavesItsMachinesAndStaysCancelled) {
+  World w;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 3)));
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 3; }, 30 * kSecond));
+  EXPECT_EQ(w.AskUntil(2, "POST", "/api/jobs/job-5/abort").body.value("status", ""), "cancelled");
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 0; }, 5 * kSecond));
+  w.Run(5 * kSecond);
+  EXPECT_EQ(w.OnMachines("job-5"), 0);
+  EXPECT_EQ(Status(w, 0, "job-5"), "cancelled");
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, ADeadNodesPartIsTakenOverWithoutEndingItsTasks) {
+  World w;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 4)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 4; }, 30 * kSecond));
+  int starts = 0;
+  for (auto& [n, x] : w.workers) starts += x->starts;
+  for (size_t i = 0; i < 3; ++i) {
+    w.Kill(i);
+    w.Run(8 * kSecond);
+    for (int p = 0; p < 3; ++p) EXPECT_GE(w.OwnerOf(p), 0);
+    w.Start(i);
+    w.Run(3 * kSecond);
+  }
+  EXPECT_EQ(w.OnMachines("job-5"), 4);
+  int after = 0;
+  for (auto& [n, x] : w.workers) after += x->starts;
+  EXPECT_EQ(starts, after);
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, ARestartedNodeReclaimsItsOwnAtOnce) {
+  World w;
+  w.Run(kReady);
+  w.Kill(1);
+  w.Start(1);
+  w.Run(500 * kMilli);
+  EXPECT_EQ(w.OwnerOf(1), 1);
+}
+
+TEST(Stories, AfterAllNodesEndedNothingAcceptedIsLost) {
+  World w;
+  w.run_time["job-1"] = 20 * kSecond;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 5)));
+  w.Run(8 * kSecond);
+  for (size_t i = 0; i < 3; ++i) w.Kill(i);
+  w.Run(3 * kSecond);
+  for (size_t i = 0; i < 3; ++i) w.Start(i);
+  EXPECT_TRUE(w.Until([&] { return Status(w, 0, "job-1") == "done"; }, 90 * kSecond));
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, ANodeCutFromTheStateServicePassesItsWorkOn) {
+  World w;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 4)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 4; }, 30 * kSecond));
+  int starts = 0;
+  for (auto& [n, x] : w.workers) starts += x->starts;
+  for (size_t i = 0; i < 3; ++i) {
+    w.cut_from_state = {i};
+    w.Run(20 * kSecond);
+    EXPECT_EQ(w.Ask(i, "GET", "/up")->status, 503);
+    for (int p = 0; p < 3; ++p) EXPECT_NE(w.OwnerOf(p), static_cast<int>(i));
+    w.cut_from_state.clear();
+    w.Run(3 * kSecond);
+  }
+  EXPECT_EQ(w.OnMachines("job-5"), 4);
+  int after = 0;
+  for (auto& [n, x] : w.workers) after += x->starts;
+  EXPECT_EQ(starts, after);
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, TasksOutliveAStateOutageLongerThanTheirLease) {
+  World w;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 4)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 4; }, 30 * kSecond));
+  w.state_down = true;
+  // Longer than cancel_s as well: siblings vouch that no cancel was accepted.
+  w.Run(45 * kSecond);
+  EXPECT_EQ(w.OnMachines("job-5"), 4);
+  auto a = w.Submit(0, World::Array("job-6", 1));
+  w.Run(2 * kSecond);
+  EXPECT_EQ(a->status, 503);
+  EXPECT_GE(a->retry_after, 1);
+  w.state_down = false;
+  w.state.Refresh(w.now);
+  w.Run(3 * kSecond);
+  EXPECT_EQ(Status(w, 0, "job-5"), "running");
+  EXPECT_EQ(w.OnMachines("job-5"), 4);
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, ACutNodeHearsOfACancelFromItsSiblings) {
+  World w;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 4)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 4; }, 30 * kSecond));
+  w.cut_from_state = {0};
+  w.Run(500 * kMilli);
+  EXPECT_EQ(w.AskUntil(1, "POST", "/api/jobs/job-5/abort").status, 200);
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 0; }, 4 * kSecond));
+}
+
+TEST(Stories, ALateStartDoesNotRunATaskTwice) {
+  World w;
+  w.run_time["job-1"] = 15 * kSecond;
+  w.AddWorker("small");
+  w.AddWorker("small");
+  w.Run(2 * kReady);
+  // Every first direct command is held back for long.
+  int lost = 0;
+  w.lose = [&](size_t, const Call& call) {
+    return call.target == "/commands" && call.body.find("start") != std::string::npos && ++lost <= 3;
+  };
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 6)));
+  w.Run(20 * kSecond);
+  w.DeliverHeld();
+  EXPECT_GT(lost, 0);
+  EXPECT_TRUE(w.Until([&] { return Status(w, 0, "job-1") == "done"; }, 90 * kSecond));
+  w.DeliverHeld();
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, ATransactionWithoutAnAnswerIsSettledOnTheSameStamp) {
+  World w;
+  w.run_time["job-1"] = 3 * kSecond;
+  w.Run(kReady);
+  int n = 0;
+  w.lose = [&](size_t, const Call& call) { return call.target == "/commit" && ++n % 4 == 0; };
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 6)));
+  for (int i = 0; i < 6; ++i) {
+    w.Run(5 * kSecond);
+    w.DeliverHeld();
+  }
+  w.lose = nullptr;
+  EXPECT_TRUE(w.Until([&] { return Status(w, 0, "job-1") == "done"; }, 90 * kSecond));
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, ADeadMachinesTasksRunElsewhereOnceItIsReturned) {
+  World w;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 2)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 2; }, 30 * kSecond));
+  FakeWorker* with = nullptr;
+  for (auto& [n, x] : w.workers) {
+    if (x->Has("job-5")) with = x.get();
+  }
+  with->silent = true;
+  EXPECT_TRUE(w.Until([&] { return with->dead; }, 20 * kSecond));
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 2; }, 20 * kSecond));
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, WorkersThatCannotReachTheirOwnerAreRelayed) {
+  World w;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 6)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 6; }, 30 * kSecond));
+  w.cut_from_workers = {0};
+  w.Run(40 * kSecond);
+  EXPECT_EQ(w.OnMachines("job-5"), 6);
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, ATeamStaysWithinItsLimitOverAllParts) {
+  World w;
+  w.Run(kReady);
+  for (int i = 1; i <= 4; ++i) {
+    JobSpec spec = World::Array("job-" + std::to_string(i), 10);
+    spec.team = "red";  // 64 cpus in all
+    w.AskUntil(static_cast<size_t>(i % 3), "POST", "/api/jobs", wire::EncodeSubmission(spec));
+  }
+  int most = 0;
+  for (int s = 0; s < 300; ++s) {
+    w.Run(100 * kMilli);
+    int n = 0;
+    for (int i = 1; i <= 4; ++i) n += w.OnMachines("job-" + std::to_string(i));
+    most = std::max(most, n);
+  }
+  EXPECT_LE(most, 16);
+  EXPECT_GE(most, 14);
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, AMachineThatFailsAllIsSetAsideAndReturned) {
+  World w;
+  w.run_time["job-1"] = 2 * kSecond;
+  w.run_time["job-2"] = 2 * kSecond;
+  FakeWorker& bad = w.AddWorker("small");
+  bad.fails_all = true;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 8)));
+  w.AskUntil(1, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-2", 8)));
+  EXPECT_TRUE(w.Until([&] { return Status(w, 0, "job-1") == "done"; }, 90 * kSecond));
+  EXPECT_TRUE(w.Until([&] { return Status(w, 0, "job-2") == "done"; }, 90 * kSecond));
+  EXPECT_TRUE(w.Until([&] { return bad.dead; }, 60 * kSecond));
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, ACloudOutageTurnsNoSubmissionAway) {
+  World w;
+  w.Run(kReady);
+  w.cloud_down = true;
+  for (size_t i = 0; i < 3; ++i) {
+    w.Kill(i);
+    w.Start(i);
+  }
+  w.Run(kReady);
+  EXPECT_EQ(w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 2))).status,
+            201);
+}
+
+TEST(Stories, IdleMachinesGoBackAndStrayOnesAreFound) {
+  World w;
+  w.AddWorker("small");
+  w.AddWorker("small", true);
+  w.Run(150 * kSecond);
+  EXPECT_EQ(w.returns, 2);
+}
+
+}  // namespace
+}  // namespace troutlink::test
--- /dev/null
+++ b/tests/units_test.cc
@@ -0,0 +1,305 @@
+// The pieces that stories cannot pin down: formulas, codecs, parsers.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "base/ids.h"
+#include "config/settings.h"
+#include "core/health.h"
+#include "core/placement.h"
+#include "core/quota.h"
+#include "core/records.h"
+#include "core/tail.h"
+#include "http/message.h"
+#include "mesh/codec.h"
+#include "wire/messages.h"
+#include "wire/pack.h"
+
+namespace troutlink {
+namespace {
+
+using wire::Json;
+
+TEST(Tail, WorksTheFormulaOnNumbers) {
+  // 100 tasks of 1 cpu and an hour each: 10% of 100 cpu hours.
+  EXPECT_DOUBLE_EQ(TailCredit(0.1, 100, 3600 * kSecond, 1000), 10.0);
+  EXPECT_FALSE(TailReached(0.9, 89, 100));
+  EXPECT_TRUE(TailReached(0.9, 90, 100));
+  EXPECT_FALSE(TailReached(0.9, 100, 100));
+  // 90% after 9 hours: at that rate one hour remains.
+  EXPECT_NEAR(ToSeconds(TailRemaining(9 * 3600 * kSecond, 90, 100)), 3600, 0.01);
+  // min(S/t_r, S): S/t_r = 10 and S = 10; with half an hour left S still caps.
+  EXPECT_DOUBLE_EQ(TailCpus(10, 3600 * kSecond), 10);
+  EXPECT_DOUBLE_EQ(TailCpus(10, 1800 * kSecond), 10);
+  EXPECT_DOUBLE_EQ(TailCpus(10, 2 * 3600 * kSecond), 5);
+  EXPECT_DOUBLE_EQ(TailCpus(0, 3600 * kSecond), 0);
+}
+
+TEST(Tail, HelpersAreWholeMachinesCappedByTheCandidates) {
+  EXPECT_EQ(TailHelpers(0.13, 3, 8000, 16000), 1);   // rounded up: the exception
+  EXPECT_EQ(TailHelpers(100, 3, 8000, 16000), 2);    // no more than the tasks need
+  EXPECT_EQ(TailHelpers(20, 50, 8000, 16000), 2);    // no more than the credit allows
+  EXPECT_EQ(TailHelpers(10, 0, 8000, 16000), 0);
+  EXPECT_EQ(TailHelpers(0, 5, 8000, 16000), 0);
+  EXPECT_EQ(TailHelpers(10, 5, 32000, 16000), 0);    // would not fit
+  EXPECT_TRUE(TailOverdue(21 * kSecond, 10 * kSecond, 2));
+  EXPECT_FALSE(TailOverdue(19 * kSecond, 10 * kSecond, 2));
+  EXPECT_FALSE(TailOverdue(19 * kSecond, 0, 2));
+}
+
+TEST(Health, TellsBadMachinesFromBadJobs) {
+  Health machine(2, 3);
+  machine.Failed(1, "m", "a");
+  EXPECT_FALSE(machine.Sick("m"));
+  machine.Failed(2, "m", "b");
+  EXPECT_TRUE(machine.Sick("m"));
+  Health job(2, 3);
+  for (int i = 0; i < 6; ++i) job.Failed(kSecond * i, "m" + std::to_string(i % 3), "a");
+  for (int i = 0; i < 3; ++i) EXPECT_FALSE(job.Sick("m" + std::to_string(i)));
+  EXPECT_GT(job.NextStart("a"), 5 * kSecond);
+  EXPECT_EQ(job.NextStart("b"), 0);
+}
+
+PlaceMachine Machine(const std::string& name, const std::string& zone, bool spot) {
+  PlaceMachine m;
+  m.name = name;
+  m.type = "t";
+  m.zone = zone;
+  m.spot = spot;
+  m.usable = true;
+  m.size = m.free = {16000, 0, 64000};
+  return m;
+}
+
+JobSpec Spec(int tasks) {
+  JobSpec s;
+  s.id = "job-1";
+  s.tasks = tasks;
+  s.each = {8000, 0, 1000};
+  s.image = "i";
+  s.image_gb = 2;
+  return s;
+}
+
+TEST(Placement, KeepsToAllowedKindsZonesAndSpread) {
+  JobSpec s = Spec(5);
+  JobSpread spread;
+  EXPECT_FALSE(Allowed(s, spread, Machine("a", "z1", true)));
+  s.spread = true;
+  spread.by_zone["z1"] = 3;  // half of five, rounded up
+  EXPECT_FALSE(Allowed(s, spread, Machine("a", "z1", false)));
+  EXPECT_TRUE(Allowed(s, spread, Machine("a", "z2", false)));
+  s.spread = false;
+  s.one_zone = true;
+  EXPECT_FALSE(Allowed(s, spread, Machine("a", "z2", false)));
+  s.one_zone = false;
+  s.zone = "z2";
+  EXPECT_FALSE(Allowed(s, spread, Machine("a", "z1", false)));
+  s.types = {"other"};
+  EXPECT_FALSE(Allowed(s, spread, Machine("a", "z2", false)));
+}
+
+TEST(Placement, PrefersACachedImageAndLeavesHeadroom) {
+  JobSpec s = Spec(1);
+  JobSpread spread;
+  std::vector<PlaceMachine> machines = {Machine("a", "z1", false), Machine("b", "z1", false)};
+  machines[1].images["i"] = true;
+  PlaceRequest r;
+  r.spec = &s;
+  r.spread = &spread;
+  EXPECT_EQ(ChooseMachine(r, machines), 1);
+  r.steady_headroom = 30000;
+  EXPECT_EQ(ChooseMachine(r, machines), -1);
+  s.kind = JobKind::kService;
+  EXPECT_EQ(ChooseMachine(r, machines), 1);
+  machines[0].usable = machines[1].usable = false;
+  EXPECT_EQ(ChooseMachine(r, machines), -1);
+}
+
+TEST(Quota, SharesAddUpToTheLimit) {
+  Team t;
+  t.name = "x";
+  t.cpus_max = 100001;
+  int64_t sum = 0;
+  for (int p = 0; p < 3; ++p) sum += EqualShare(t, p, 3).cpus;
+  EXPECT_EQ(sum, t.cpus_max);
+  EXPECT_TRUE(WithinShare(t, {10, 0}, {6, 0}, {4, 0, 0}));
+  EXPECT_FALSE(WithinShare(t, {10, 0}, {6, 0}, {5, 0, 0}));
+  t.cpus_max = 0;  // no limit
+  EXPECT_TRUE(WithinShare(t, {0, 0}, {6, 0}, {5, 0, 0}));
+  EXPECT_EQ(Movable({10, 0}, {7, 0}, {9, 0}).cpus, 3);
+  EXPECT_EQ(Movable({10, 0}, {12, 0}, {9, 0}).cpus, 0);
+}
+
+TEST(Records, SurviveTheirRoundTrip) {
+  Roster r;
+  r.chunks = 3;
+  r.next_number = 77;
+  for (int i = 0; i < 20; ++i) {
+    RosterMachine m;
+    m.name = "n-" + std::to_string(i);
+    m.addr = "10.1.0.1:9000";
+    m.type = "t";
+    m.zone = "z";
+    m.spot = i % 2 == 0;
+    m.leaving = i % 3 == 0;
+    m.attempts = {{"job-1", i, 5}, {"job-2", 1, 6}};
+    r.machines[m.name] = m;
+  }
+  r.hires["h"] = {{"h", "t", "z", true, 4}, "job-1"};
+  r.shares["team"] = {5, 6};
+  r.helps["job-1"] = {0.25};
+  Roster back;
+  for (int i = 0; i < 3; ++i) ASSERT_TRUE(DecodeChunk(EncodeChunk(r, i), i, &back));
+  EXPECT_EQ(back, r);
+  Progress p = {{"job-1", {0, 1, 2, 7, 9}}, {"job-2", {4}}};
+  EXPECT_EQ(DecodeProgress(EncodeProgress(p)), p);
+}
+
+TEST(Http, ParsesInAnyPiecesAndRefusesTricks) {
+  std::string text = "POST /x HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET /y HTTP/1.1\r\n\r\n";
+  for (size_t step = 1; step < text.size(); ++step) {
+    http::Parser parser(http::Parser::Kind::kRequest, {});
+    std::vector<http::Message> got;
+    for (size_t i = 0; i < text.size(); i += step) {
+      parser.Feed(std::string_view(text).substr(i, step));
+      http::Message m;
+      while (parser.Next(&m) == http::Parser::State::kMessage) got.push_back(m);
+    }
+    ASSERT_EQ(got.size(), 2u);
+    EXPECT_EQ(got[0].body, "abc");
+    EXPECT_EQ(got[1].target, "/y");
+  }
+  auto status = [](const std::string& head) {
+    http::Parser parser(http::Parser::Kind::kRequest, {});
+    parser.Feed(head);
+    http::Message m;
+    return parser.Next(&m) == http::Parser::State::kError ? parser.error_status() : 0;
+  };
+  EXPECT_EQ(status("nonsense\r\n\r\n"), 400);
+  EXPECT_EQ(status("GET / HTTP/2.0\r\n\r\n"), 505);
+  EXPECT_EQ(status("GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n"), 400);
+  EXPECT_EQ(status("GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"), 400);
+  EXPECT_EQ(status("GET / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n"), 413);
+  EXPECT_EQ(status("GET / HTTP/1.1\r\nX: " + std::string(9000, 'a')), 431);
+}
+
+// Damages bytes of good inputs; decoders may refuse them but must not fall over.
+template <typename F>
+void Damage(const std::string& good, F decode) {
+  std::mt19937 rng(7);
+  for (int i = 0; i < 4000; ++i) {
+    std::string s = good;
+    int n = 1 + static_cast<int>(rng() % 4);
+    for (int k = 0; k < n && !s.empty(); ++k) {
+      switch (rng() % 3) {
+        case 0: s[rng() % s.size()] = static_cast<char>(rng()); break;
+        case 1: s.erase(rng() % s.size(), 1 + rng() % 3); break;
+        default: s.insert(rng() % s.size(), 1, static_cast<char>(rng())); break;
+      }
+    }
+    decode(s);
+  }
+}
+
+TEST(Fuzz, DamagedInputsAreRefusedNotCrashedOn) {
+  JobSpec spec = Spec(3);
+  spec.job_class = "c";
+  spec.team = "t";
+  std::string why;
+  ASSERT_TRUE(wire::DecodeSubmission(wire::EncodeSubmission(spec), &why)) << why;
+  Damage(wire::EncodeSubmission(spec), [](const std::string& s) {
+    std::string w;
+    wire::DecodeSubmission(s, &w);
+  });
+  Report report;
+  report.machine = "n-1";
+  report.session = report.seq = 1;
+  report.tasks.push_back({"job-1", 2, 3, TaskState::kExited, ExitReason::kDone, true});
+  Damage(wire::EncodeReport(report), [](const std::string& s) { wire::DecodeReport(s); });
+  mesh::Ping ping;
+  ping.cancels = {"job-1", "job-22"};
+  ping.claims = {{1, 300, "node-1"}};
+  std::string frame = mesh::Encode(ping);
+  mesh::Framer framer;
+  framer.Feed(frame);
+  std::string body;
+  bool bad = false;
+  ASSERT_TRUE(framer.Next(&body, &bad));
+  ASSERT_TRUE(mesh::Decode(body).has_value());
+  EXPECT_EQ(std::get<mesh::Ping>(*mesh::Decode(body)), ping);
+  Damage(body, [](const std::string& s) { mesh::Decode(s); });
+  Damage("POST /api/jobs HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+         [](const std::string& s) {
+           http::Parser parser(http::Parser::Kind::kRequest, {});
+           parser.Feed(s);
+           http::Message m;
+           for (int i = 0; i < 5 && parser.Next(&m) == http::Parser::State::kMessage; ++i) {
+           }
+         });
+}
+
+TEST(Wire, SubmissionsAreCheckedFieldByField) {
+  JobSpec spec = Spec(3);
+  spec.job_class = "c";
+  spec.team = "t";
+  Json good = *wire::Unpack(wire::EncodeSubmission(spec));
+  auto refused = [](const Json& j) {
+    std::string why;
+    return !wire::DecodeSubmission(wire::Pack(j), &why) && !why.empty();
+  };
+  EXPECT_FALSE(refused(good));
+  for (const auto& [key, value] : good.items()) {
+    Json j = good;
+    j.erase(key);
+    EXPECT_TRUE(refused(j)) << key;
+    j[key] = Json::array({1});
+    EXPECT_TRUE(refused(j)) << key;
+  }
+  Json j = good;
+  for (const Json& bad : {Json(0), Json(100001), Json(-1), Json(1.5)}) {
+    j["pieces"] = bad;
+    EXPECT_TRUE(refused(j));
+  }
+  j = good;
+  j["cpus"] = std::nan("");
+  EXPECT_TRUE(refused(j));
+  j["cpus"] = -1.0;
+  EXPECT_TRUE(refused(j));
+  j = good;
+  j["surprise"] = 1;  // unknown fields are ignored
+  EXPECT_FALSE(refused(j));
+  std::string why;
+  std::string packed = wire::Pack(good);
+  EXPECT_FALSE(wire::DecodeSubmission(packed + "x", &why));       // trailing bytes
+  EXPECT_FALSE(wire::DecodeSubmission(wire::Pack(Json(3)), &why));  // not a map
+  EXPECT_FALSE(wire::DecodeSubmission(std::string("\x82\xa1") + "a\x01\xa1" + "a\x02", &why));
+  EXPECT_FALSE(wire::DecodeSubmission(std::string("\x81\x01\x02"), &why));  // key is no text
+  j = good;
+  j["extra"] = Json::binary({1, 2});
+  EXPECT_TRUE(refused(j));
+}
+
+TEST(Settings, OperatorsFileIsCheckedWithLineAndRange) {
+  OperatorSettings op;
+  std::string error;
+  EXPECT_TRUE(ParseOperatorSettings("tail_threshold: 0.8 # half", &op, &error));
+  EXPECT_DOUBLE_EQ(op.tail_threshold(), 0.8);
+  EXPECT_FALSE(ParseOperatorSettings("tail_treshold: 0.8", &op, &error));
+  EXPECT_NE(error.find("line 1"), std::string::npos);
+  EXPECT_FALSE(ParseOperatorSettings("tail_threshold: 7", &op, &error));
+  EXPECT_NE(error.find("tail_threshold must be from"), std::string::npos);
+  EXPECT_FALSE(ParseSettings("{}", &error));
+  EXPECT_NE(error.find("label is missing"), std::string::npos);
+  EXPECT_FALSE(ParseSettings("nonsense", &error));
+}
+
+TEST(Ids, JobIdsHaveOneForm) {
+  EXPECT_TRUE(IsJobId("job-000412"));
+  for (const char* bad : {"", "job-", "job-1x", "Job-1", "job-1/2", "job--1"}) {
+    EXPECT_FALSE(IsJobId(bad)) << bad;
+  }
+}
+
+}  // namespace
+}  // namespace troutlink
--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,175 @@
+// In-memory fakes of the network, the state service, the cloud and the workers,
+// which speak the published protocol, and the controllers' cores between them.
+// Time is simulated: a story says how long it waits, nothing sleeps.
+#ifndef TROUTLINK_TESTS_WORLD_H_
+#define TROUTLINK_TESTS_WORLD_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "wire/pack.h"
+
+namespace troutlink::test {
+
+using wire::Json;
+
+class FakeState {
+ public:
+  struct Item {
+    Json value;
+    uint64_t version = 0;
+    uint64_t lease = 0;
+  };
+  // Status and body of an answer.
+  std::pair<int, Json> Handle(Micros now, const std::string& method, const std::string& target,
+                              const Json& body);
+  void Expire(Micros now);
+  // An outage ends: every lease has its full time again.
+  void Refresh(Micros now);
+
+  std::map<std::string, Item> items;
+  uint64_t revision = 1;
+  struct Lease {
+    Micros life = 0, until = 0;
+  };
+  std::map<uint64_t, Lease> leases;
+  uint64_t next_lease = 1;
+  struct Change {
+    uint64_t revision;
+    std::string key;
+    bool erase;
+  };
+  std::vector<Change> changes;
+  int commits = 0;
+};
+
+class FakeWorker {
+ public:
+  struct Task {
+    uint64_t attempt = 0;
+    TaskState state = TaskState::kRunning;
+    ExitReason why = ExitReason::kNone;
+    Micros ends = 0;
+  };
+  Report MakeReport();
+  void Apply(Micros now, const Json& orders);
+  void Advance(Micros now);
+  bool Has(const std::string& job) const;
+
+  std::string name, addr, type, zone;
+  bool spot = false, dead = false, fails_all = false, silent = false;
+  uint64_t session = 1, seq = 0, token = 0;
+  std::map<std::pair<std::string, int>, Task> tasks;
+  std::map<std::string, Micros> run_time;  // by job; 0: until stopped
+  size_t node = 0;
+  Micros next_report = 0, lease_from = 0;
+  bool reporting = false;
+  int starts = 0;
+  std::function<void(const std::string& job, int task)> on_start;
+};
+
+class World {
+ public:
+  explicit World(int nodes = 3);
+
+  // --- the story's verbs ---
+  void Run(Micros time);
+  // Runs until the condition holds; false when it did not within `most`.
+  bool Until(const std::function<bool()>& holds, Micros most);
+  FakeWorker& AddWorker(const std::string& type, bool spot = false);
+  struct Answered {
+    int status = -100;  // none yet
+    Json body;
+    int retry_after = 0;
+  };
+  std::shared_ptr<Answered> Ask(size_t node, const std::string& method, const std::string& target,
+                                const std::string& body = "");
+  std::shared_ptr<Answered> Submit(size_t node, const JobSpec& spec);
+  // Asks until the answer is final for the user; returns the last one.
+  Answered AskUntil(size_t node, const std::string& method, const std::string& target,
+                    const std::string& body = "");
+  void Kill(size_t node);
+  void Start(size_t node);
+  int OnMachines(const std::string& job) const;
+  int OwnerOf(int part) const;
+
+  static JobSpec Array(const std::string& id, int tasks);
+  static JobSpec Service(const std::string& id, int tasks);
+
+  // --- troubles ---
+  bool state_down = false;                 // 503 to all
+  std::set<size_t> cut_from_state;         // requests of these get no answer
+  std::set<size_t> refused_by_state;       // these get 503
+  std::set<size_t> cut_from_workers;
+  bool cloud_down = false;
+  int capacity = 100;
+  // Called for every call that a node sends; true: it is lost (no answer, but
+  // `late` runs it at a later time if set).
+  std::function<bool(size_t node, const Call& call)> lose;
+  // Requests that were lost, to be delivered late.
+  std::vector<std::pair<size_t, Call>> held;
+  void DeliverHeld();
+
+  Settings settings;
+  FakeState state;
+  std::map<std::string, std::unique_ptr<FakeWorker>> workers;
+  Micros now = 1000 * kSecond;
+  // Every broken rule that the fakes notice.
+  std::vector<std::string> broken;
+  std::map<std::string, Micros> run_time;  // of new jobs' tasks
+  std::map<std::string, bool> rented;      // requests seen by the cloud
+  int rentals = 0, returns = 0;
+
+  Core& core(size_t node) { return *nodes_[node].core; }
+  bool alive(size_t node) const { return nodes_[node].core != nullptr; }
+
+ private:
+  struct Event {
+    Micros at;
+    uint64_t order;
+    std::function<void()> run;
+    bool operator>(const Event& o) const {
+      return at != o.at ? at > o.at : order > o.order;
+    }
+  };
+  struct Node {
+    Settings settings;
+    std::unique_ptr<Core> core;
+    uint64_t boot = 0;
+    std::map<uint64_t, std::function<void(const Reply&)>> waiting;
+    uint64_t next_request = 1;
+    Micros next_tick = 0;
+  };
+  void At(Micros when, std::function<void()> run);
+  void Dispatch(size_t node, Outbox out);
+  void Carry(size_t node, const Call& call);
+  std::pair<int, std::string> Serve(size_t node, const Call& call, bool* hang);
+  std::pair<int, Json> Cloud(const std::string& method, const std::string& target,
+                             const Json& body);
+  void AnswerCall(size_t node, uint64_t boot, uint64_t call, int status, std::string body);
+  void WorkerReports(FakeWorker* w);
+  void Step();
+
+  std::vector<Node> nodes_;
+  std::vector<Event> events_;
+  struct OpenWatch {
+    size_t node;
+    uint64_t boot;
+    Call call;
+    uint64_t after;
+    Micros until;
+  };
+  std::vector<OpenWatch> watches_;
+  uint64_t order_ = 0;
+  uint64_t next_boot_ = 1;
+  int next_machine_ = 1;
+};
+
+}  // namespace troutlink::test
+
+#endif  // TROUTLINK_TESTS_WORLD_H_
