--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -197,7 +197,7 @@
          range("hand_back_after_s", o.hand_back_after_s(), 1, 3600) &&
          range("service_headroom_cpus", o.service_headroom_cpus(), 0, 1e6) &&
          range("service_headroom_share", o.service_headroom_share(), 0, 10) &&
-         range("idle_return_s", o.idle_return_s(), 0, 86400) &&
+         range("idle_return_boots", o.idle_return_boots(), 0, 1000) &&
          range("rent_share", o.rent_share(), 0, 10) &&
          range("refusal_pause_s", o.refusal_pause_s(), 0.5, 3600) &&
          range("boot_patience", o.boot_patience(), 1, 100) &&
--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -15,6 +15,9 @@
 constexpr Micros kQueryPatience = 1500 * kMilli;
 constexpr size_t kMostQueries = 2000;
 constexpr int kRetryAfter = 1;
+// The state service usually answers within some ten milliseconds.
+constexpr Micros kForwardAfter = 100 * kMilli;
+constexpr Micros kForwardPatience = 2 * kSecond;
 
 std::string_view StateName(JobState state) {
   return state == JobState::kDone ? "done" : "cancelled";
@@ -96,6 +99,60 @@
   return static_cast<int>(best);
 }
 
+std::string Core::FreshSibling(Micros now) const {
+  const Peer* best = nullptr;
+  for (const auto& [label, peer] : peers_) {
+    if (peer.heard == 0 || now - peer.heard > kSecond || peer.state_age > kSecond) continue;
+    if (best == nullptr || peer.state_age < best->state_age) best = &peer;
+  }
+  return best == nullptr ? "" : best->label;
+}
+
+bool Core::ForwardRequest(Micros now, OpenRequest* open) {
+  open->tried = true;
+  std::string to = FreshSibling(now);
+  if (to.empty()) return false;
+  ++counters_.forwards;
+  open->forward = next_foreign_++;
+  open->forwarded_at = now;
+  forwards_[open->forward] = open->request.id;
+  out_.peers.push_back({to, mesh::Forward{open->forward, open->request.method,
+                                          open->request.target, open->request.body}});
+  return true;
+}
+
+void Core::UserRequest(Micros now, const Request& request) {
+  OpenRequest& open = open_[request.id];
+  open.request = request;
+  open.since = now;
+  if (!StateFresh(now) || !synced_ || types_.empty()) ForwardRequest(now, &open);
+  Route(now, request);
+}
+
+void Core::RunForwards(Micros now) {
+  std::vector<uint64_t> ended;
+  for (auto& [id, open] : open_) {
+    if (!open.tried && now - open.since > kForwardAfter) ForwardRequest(now, &open);
+    if (open.forward != 0 && now - open.forwarded_at > kForwardPatience) {
+      forwards_.erase(open.forward);
+      open.forward = 0;
+      if (open.refused) ended.push_back(id);
+    } else if (now - open.since > 10 * kSecond) {
+      ended.push_back(id);  // its connection is long gone
+    }
+  }
+  for (uint64_t id : ended) {
+    Reply refusal = open_[id].refusal;
+    bool refused = open_[id].refused;
+    open_[id].forward = 0;
+    if (refused) {
+      Answer(id, refusal.status, refusal.body, refusal.retry_after_s);
+    } else {
+      Answer(id, 503, wire::EncodeError("no answer"), kRetryAfter);
+    }
+  }
+}
+
 void Core::Submit(Micros now, const Request& request) {
   ++counters_.submissions;
   std::string why;
@@ -123,11 +180,14 @@
     Answer(request.id, 422, wire::EncodeError(why));
     return;
   }
-  if (!write_budget_.Take(now, 1)) {
+  // Acceptance comes before all other writes: it only stops when the node is
+  // deep in debt, and otherwise lets the service itself say that it is too much.
+  if (write_budget_.have() < -s_.write_rps / 2) {
     ++counters_.refused;
     Answer(request.id, 429, wire::EncodeError("too many submissions"), kRetryAfter);
     return;
   }
+  write_budget_.Force(now, 1);
   JobRecord record;
   record.part = PartForJob(*spec);
   record.submitted = WallNow(now);
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -44,6 +44,25 @@
 }
 
 void Core::Answer(uint64_t request, int status, std::string body, int retry_after_s) {
+  auto foreign = foreign_.find(request);
+  if (foreign != foreign_.end()) {
+    out_.peers.push_back(
+        {foreign->second.first,
+         mesh::ForwardReply{foreign->second.second, static_cast<uint64_t>(status),
+                            static_cast<uint64_t>(retry_after_s), std::move(body)}});
+    foreign_.erase(foreign);
+    return;
+  }
+  auto open = open_.find(request);
+  if (open != open_.end()) {
+    if (status >= 429 && open->second.forward != 0) {
+      // A sibling is still at work on it.
+      open->second.refused = true;
+      open->second.refusal = {request, status, std::move(body), retry_after_s};
+      return;
+    }
+    open_.erase(open);
+  }
   out_.replies.push_back({request, status, std::move(body), retry_after_s});
 }
 
@@ -90,23 +109,15 @@
       }
     }
   } else if (target == wire::kJobsPath) {
-    if (only("POST")) Submit(now, request);
+    if (only("POST")) UserRequest(now, request);
   } else if (target == "/metrics") {
     if (only("GET")) Answer(request.id, 200, MetricsText(now));
   } else if (std::optional<wire::JobPath> path = wire::ParseJobPath(target)) {
     if (only(path->abort ? "POST" : "GET")) {
-      Query query;
-      query.kind = path->abort ? Query::Kind::kAbort : Query::Kind::kPoll;
-      query.request = request.id;
-      query.id = path->id;
-      query.since = now;
-      ++(path->abort ? counters_.aborts : counters_.polls);
       if (!IsJobId(path->id)) {
         Answer(request.id, 404, wire::EncodeError("no such job"));
-      } else if (path->abort) {
-        Abort(now, std::move(query));
       } else {
-        Poll(now, std::move(query));
+        UserRequest(now, request);
       }
     }
   } else {
@@ -116,6 +127,28 @@
   return Flush();
 }
 
+// A user's request, from here or from a sibling.
+void Core::Route(Micros now, const Request& request) {
+  std::string_view target = request.target;
+  target = target.substr(0, target.find('?'));
+  std::optional<wire::JobPath> path = wire::ParseJobPath(target);
+  if (!path) {
+    Submit(now, request);
+    return;
+  }
+  Query query;
+  query.kind = path->abort ? Query::Kind::kAbort : Query::Kind::kPoll;
+  query.request = request.id;
+  query.id = path->id;
+  query.since = now;
+  ++(path->abort ? counters_.aborts : counters_.polls);
+  if (path->abort) {
+    Abort(now, std::move(query));
+  } else {
+    Poll(now, std::move(query));
+  }
+}
+
 Outbox Core::HandleAnswer(Micros now, uint64_t call, int status, const std::string& body) {
   auto it = pending_.find(call);
   if (it != pending_.end()) {
@@ -156,6 +189,28 @@
       Answer(it->second.first, static_cast<int>(reply->status), reply->body);
       relays_.erase(it);
     }
+  } else if (const auto* forward = std::get_if<mesh::Forward>(&message)) {
+    uint64_t id = next_foreign_++;
+    if (foreign_.size() < 1000) {
+      foreign_[id] = {from, forward->id};
+      Route(now, {id, forward->method, forward->target, forward->body});
+    }
+  } else if (const auto* answer = std::get_if<mesh::ForwardReply>(&message)) {
+    auto it = forwards_.find(answer->id);
+    if (it != forwards_.end()) {
+      uint64_t request = it->second;
+      forwards_.erase(it);
+      auto open = open_.find(request);
+      if (open != open_.end()) {
+        open->second.forward = 0;
+        if (answer->status < 429) {
+          Answer(request, static_cast<int>(answer->status), answer->body);
+        } else if (open->second.refused) {
+          Reply refusal = open->second.refusal;
+          Answer(request, refusal.status, refusal.body, refusal.retry_after_s);
+        }
+      }
+    }
   }
   After(now);
   return Flush();
@@ -177,6 +232,7 @@
       ++it;
     }
   }
+  RunForwards(now);
   while (!accepted_cancels_.empty() && accepted_cancels_.front().first + 2 * s_.cancel < now) {
     accepted_cancels_.pop_front();
   }
@@ -199,6 +255,7 @@
   put("reports_total", c.reports);
   put("redirects_total", c.redirects);
   put("relays_total", c.relays);
+  put("forwards_total", c.forwards);
   put("commits_total", c.commits);
   put("commit_conflicts_total", c.commit_conflicts);
   put("commit_unknown_total", c.commit_unknown);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -24,7 +24,7 @@
 
 struct Counters {
   uint64_t submissions = 0, accepted = 0, refused = 0, polls = 0, aborts = 0;
-  uint64_t reports = 0, redirects = 0, relays = 0;
+  uint64_t reports = 0, redirects = 0, relays = 0, forwards = 0;
   uint64_t commits = 0, commit_conflicts = 0, commit_unknown = 0, puts = 0;
   uint64_t state_calls = 0, cloud_calls = 0, worker_calls = 0, worker_unknown = 0;
   uint64_t starts = 0, stops = 0, gone = 0, takes = 0, share_moves = 0;
@@ -84,9 +84,12 @@
     bool cleanup = false;       // only removals: may wait
     bool fence = false;         // a commit is needed for its revision
     Micros last_commit = 0;
+    Micros committed_at = 0;
     Micros not_before = 0;
     Micros cleanup_at = 0;
     int conflicts = 0;
+    Micros take_after = 0;      // other parts are left alone until then
+    Micros changed_at = 0;      // last change of the roster
     Micros progress_at = 0;
     bool progress_dirty = false;
     uint32_t batch = 0;
@@ -129,6 +132,23 @@
     Micros since = 0;
     int tries = 0;
   };
+  // A user's request until its answer. When we cannot reach the state service,
+  // or it is slow, a sibling that can is asked as well; the first good answer
+  // counts. Every request may be carried out more than once without harm.
+  struct OpenRequest {
+    Request request;
+    Micros since = 0;
+    uint64_t forward = 0;    // its id at the sibling; 0: not forwarded
+    Micros forwarded_at = 0;
+    bool tried = false;
+    bool refused = false;    // our own answer, kept while the sibling works
+    Reply refusal;
+  };
+  void Route(Micros now, const Request& request);
+  void UserRequest(Micros now, const Request& request);
+  bool ForwardRequest(Micros now, OpenRequest* open);
+  void RunForwards(Micros now);
+  std::string FreshSibling(Micros now) const;
   void Submit(Micros now, const Request& request);
   void Poll(Micros now, Query query);
   void RunQueries(Micros now);
@@ -243,7 +263,7 @@
   void DraftPlacement(Micros now, int part, Draft* draft);
   void DraftPreemption(Micros now, int part, Draft* draft, const JobSpec& spec);
   bool DraftTake(Micros now, int part, Draft* draft, const JobSpec& spec);
-  bool DraftShare(int part, Draft* draft, const Team& team, const Share& want);
+  bool DraftShare(Micros now, int part, Draft* draft, const Team& team, const Share& want);
   void Commit(Micros now, int part, Draft* draft);
   void OnCommitted(Micros now, int part, const Draft& draft, uint64_t revision);
   std::vector<PlaceMachine> Snapshot(Micros now, int part, const Roster& roster) const;
@@ -251,6 +271,9 @@
   bool Usable(Micros now, const RosterMachine& machine, const MachineInfo& info) const;
   Share UsedBy(const Roster& roster, const std::string& team, bool skip_gone) const;
   int64_t SteadyHeadroom(int part) const;
+  bool SpreadServices(int part) const;
+  // The last moment at which the rest of a job may start and still be in time.
+  Micros LatestStart(const JobRecord& record) const;
   void DraftAdoption(Micros now, int part, Draft* draft);
   void DraftReturns(Micros now, int part, Draft* draft);
   void AddHire(int part, Draft* draft, const Offer& offer, bool spot, int count,
@@ -327,6 +350,10 @@
   std::set<std::string> heard_cancels_;  // from peers, perhaps before the view
 
   // Acceptance.
+  std::map<uint64_t, OpenRequest> open_;
+  std::map<uint64_t, uint64_t> forwards_;  // forward id -> request
+  std::map<uint64_t, std::pair<std::string, uint64_t>> foreign_;  // request -> sibling, its id
+  uint64_t next_foreign_ = uint64_t{1} << 62;
   std::deque<Query> queries_;
   bool query_busy_ = false;
   Micros query_not_before_ = 0;
@@ -352,7 +379,11 @@
   Micros machines_asked_ = 0;
   std::vector<ListedMachine> listed_;
   std::map<std::string, Micros> stray_since_;
-  std::map<std::string, Micros> offer_pause_;  // type/zone/kind
+  struct Pause {
+    Micros until = 0;
+    int refusals = 0;
+  };
+  std::map<std::string, Pause> offer_pause_;  // type/zone/kind
   struct HireState {
     bool sent = false;
     bool done = false;
--- a/src/core/draft.h
+++ b/src/core/draft.h
@@ -28,6 +28,7 @@
   std::vector<std::string> hires;
   std::vector<Unmet> unmet;
   bool urgent = false;
+  bool critical = false;          // starts work of the highest priority
   bool all_rosters = false;       // conditional on every roster (adoption)
   bool progress = false;
   bool fence = false;
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -50,7 +50,7 @@
     if (per <= 0) continue;
     for (const std::string& zone : t.zones) {
       auto pause = offer_pause_.find(OfferKey(t.name, zone, spot));
-      if (pause != offer_pause_.end() && now < pause->second) continue;
+      if (pause != offer_pause_.end() && now < pause->second.until) continue;
       PlaceMachine probe;
       probe.type = t.name;
       probe.zone = zone;
@@ -272,7 +272,8 @@
       if (!wanted) m.leaving = true;
     } else if (health_.Sick(name) && now - info.idle_since > 2 * kSecond) {
       m.leaving = true;
-    } else if (now - info.idle_since > FromSeconds(s_.op.idle_return_s())) {
+    } else if (now - info.idle_since >
+               static_cast<Micros>(s_.op.idle_return_boots() * static_cast<double>(type->boot))) {
       if (m.spot) {
         if (spot_free + std::max<int64_t>(0, steady_free - headroom) - type->size.cpus >= spare) {
           spot_free -= type->size.cpus;
@@ -310,13 +311,19 @@
            counters_.hired += rented->size();
            // Filled in part: there are no more at the moment.
            if (static_cast<int>(rented->size()) < ask.count) {
-             offer_pause_[key] = t + FromSeconds(s_.op.refusal_pause_s());
+             Pause& pause = offer_pause_[key];
+             pause = {t + FromSeconds(s_.op.refusal_pause_s()), 1};
+           } else {
+             offer_pause_.erase(key);
            }
          } else if (status == 400 ||
                     (status == 503 && body.find("no capacity") != std::string::npos)) {
            h.done = true;
            ++counters_.refused_hires;
-           offer_pause_[key] = t + FromSeconds(s_.op.refusal_pause_s());
+           // Every request costs writes and calls: ask less and less often.
+           Pause& pause = offer_pause_[key];
+           pause.until = t + (FromSeconds(s_.op.refusal_pause_s()) << std::min(pause.refusals, 2));
+           ++pause.refusals;
          } else {
            // May have been carried out: only a repeat of the same request tells.
            h.retry_at = t + 1500 * kMilli;
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -274,11 +274,12 @@
 bool Core::Up(Micros now) const {
   if (!synced_ || types_.empty()) return false;
   if (StateFresh(now)) return true;
-  // While nobody has the state service, there is no better node to go to.
+  // A sibling decides for us, or nobody has the state service and there is no
+  // better node to go to. Only a node that hears nobody steps aside.
   for (const auto& [label, peer] : peers_) {
-    if (now - peer.heard < 2 * kSecond && peer.state_age < 1500 * kMilli) return false;
+    if (peer.heard != 0 && now - peer.heard < 1500 * kMilli) return true;
   }
-  return true;
+  return peers_.empty();
 }
 
 }  // namespace troutlink
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -31,8 +31,11 @@
   const JobSpec& spec = *r.spec;
   const bool service = spec.kind == JobKind::kService;
   int64_t steady_free = 0;
+  std::map<std::string, int64_t> zone_free;
   for (const PlaceMachine& m : machines) {
-    if (m.usable && !m.spot) steady_free += std::max<int64_t>(0, m.free.cpus);
+    if (!m.usable || m.spot) continue;
+    steady_free += std::max<int64_t>(0, m.free.cpus);
+    if (r.zone_headroom > 0) zone_free[m.zone] += std::max<int64_t>(0, m.free.cpus);
   }
   int best = -1;
   double best_score = 0;
@@ -43,7 +46,8 @@
     if (r.avoid != nullptr && *r.avoid == m.name) continue;
     if (!Allowed(spec, *r.spread, m)) continue;
     if (!service && !m.spot && !r.tail && spec.priority != Priority::kProduction &&
-        steady_free - spec.each.cpus < r.steady_headroom) {
+        (steady_free - spec.each.cpus < r.steady_headroom ||
+         (r.zone_headroom > 0 && zone_free[m.zone] - spec.each.cpus < r.zone_headroom))) {
       continue;
     }
     // Seconds until the task can run there: its image, and fetches sharing the link.
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -39,6 +39,7 @@
   const JobSpread* spread = nullptr;
   bool tail = false;              // prefers steady machines, may use headroom
   int64_t steady_headroom = 0;    // cpus to leave free on steady machines
+  int64_t zone_headroom = 0;      // the same in each zone, for services that spread
   const std::string* avoid = nullptr;  // a machine to keep away from
 };
 
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -13,6 +13,7 @@
 namespace {
 constexpr Micros kCommitTimeout = 1500 * kMilli;
 constexpr Micros kCleanupPeriod = 700 * kMilli;
+constexpr Micros kRoundPeriod = 80 * kMilli;
 constexpr Micros kIdleRound = 250 * kMilli;
 constexpr Micros kTakeAfter = 1500 * kMilli;
 }  // namespace
@@ -184,6 +185,30 @@
                                        static_cast<double>(services)));
 }
 
+bool Core::SpreadServices(int part) const {
+  for (const auto& [id, run] : runs_) {
+    if (run.part != part) continue;
+    const JobEntry* job = FindJob(id);
+    if (job != nullptr && job->record.spec.kind == JobKind::kService && job->record.spec.spread) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// From the deadline, or from what the objectives expect of the class.
+Micros Core::LatestStart(const JobRecord& record) const {
+  const JobSpec& spec = record.spec;
+  Micros best = record.submitted + 600 * kSecond;
+  if (spec.deadline > 0) best = record.submitted + spec.deadline - spec.estimate;
+  for (const Objective& o : s_.objectives) {
+    if (o.job_class != spec.job_class || o.within <= 0) continue;
+    if (o.kind == "wait") best = std::min(best, record.submitted + o.within);
+    if (o.kind == "finished") best = std::min(best, record.submitted + o.within - spec.estimate);
+  }
+  return best;
+}
+
 void Core::RunRounds(Micros now) {
   for (int part = 0; part < s_.parts(); ++part) {
     Part& p = parts_[static_cast<size_t>(part)];
@@ -244,6 +269,7 @@
     JobRun* run;
     int tasks;
     bool within;
+    bool late;
     Micros key;
   };
   std::map<std::string, Share> everywhere;  // by team, over all parts
@@ -273,9 +299,12 @@
     const Team* team = FindTeam(spec.team);
     if (team == nullptr) continue;
     bool within = team->cpus > 0 && everywhere[spec.team].cpus + spec.each.cpus <= team->cpus;
-    Micros key = job->record.submitted;
-    if (spec.deadline > 0) key += spec.deadline;
-    waiting.push_back({&spec, &run, left, within, key});
+    // First who can still be in time, most urgent first; then the late ones in
+    // the order of their coming.
+    Micros key = LatestStart(job->record);
+    bool late = spec.kind != JobKind::kService && key < WallNow(now);
+    if (late) key = job->record.submitted;
+    waiting.push_back({&spec, &run, left, within, late, key});
   }
   double decay = p.peak_at == 0 ? 0 : std::max(0.0, 1.0 - ToSeconds(now - p.peak_at) / 60.0);
   p.array_peak = std::max(array_cpus, p.array_peak * decay);
@@ -283,6 +312,7 @@
   std::sort(waiting.begin(), waiting.end(), [](const Waiting& a, const Waiting& b) {
     if (a.spec->priority != b.spec->priority) return a.spec->priority > b.spec->priority;
     if (a.within != b.within) return a.within;
+    if (a.late != b.late) return b.late;
     if (a.key != b.key) return a.key < b.key;
     return a.spec->id < b.spec->id;
   });
@@ -291,6 +321,9 @@
   uint32_t started = 0;
   const size_t most_jobs = static_cast<size_t>(std::max(1, 4 * s_.txn_ops - 12));
   const int64_t headroom = SteadyHeadroom(part);
+  const int64_t zone_headroom =
+      SpreadServices(part) ? headroom / static_cast<int64_t>(std::max<size_t>(1, s_.zones.size()))
+                           : 0;
   for (const Waiting& w : waiting) {
     const JobSpec& spec = *w.spec;
     if (started >= batch || draft->jobs.size() >= most_jobs) break;
@@ -310,7 +343,7 @@
         if (asked_share) break;
         asked_share = true;
         Share want{spec.each.cpus * left, spec.each.gpus * left};
-        if (!DraftShare(part, draft, team, want)) break;
+        if (!DraftShare(now, part, draft, team, want)) break;
         if (!WithinShare(team, ShareOf(draft->roster, team, part, s_.parts()), used, spec.each)) {
           break;
         }
@@ -320,6 +353,7 @@
       request.spread = &spread;
       request.tail = tail;
       request.steady_headroom = headroom;
+      request.zone_headroom = zone_headroom;
       int m = ChooseMachine(request, draft->machines);
       if (m < 0 && DraftTake(now, part, draft, spec)) m = ChooseMachine(request, draft->machines);
       if (m < 0) {
@@ -349,6 +383,7 @@
       ++started;
       --left;
       draft->urgent = true;
+      draft->critical = draft->critical || spec.priority == Priority::kProduction;
     }
     if (gang && left > 0) {
       *draft = std::move(*before);
@@ -416,10 +451,13 @@
 
 // Takes one free machine of another part for a task that has no room here.
 bool Core::DraftTake(Micros now, int part, Draft* draft, const JobSpec& spec) {
+  if (now < parts_[static_cast<size_t>(part)].take_after) return false;
   for (int q = 0; q < s_.parts(); ++q) {
     if (q == part) continue;
     const Part& other = parts_[static_cast<size_t>(q)];
     if (other.chunks.count(0) == 0 || other.committing) continue;
+    // A part that is busy committing would only make this commit fail.
+    if (now - other.changed_at < 60 * kMilli && spec.priority != Priority::kProduction) continue;
     // One other part in a commit, or it outgrows the transaction.
     if (!draft->others.empty() && draft->others.count(q) == 0) continue;
     const Roster& theirs =
@@ -462,7 +500,8 @@
 }
 
 // Moves unused parts of a team's limit here.
-bool Core::DraftShare(int part, Draft* draft, const Team& team, const Share& want) {
+bool Core::DraftShare(Micros now, int part, Draft* draft, const Team& team, const Share& want) {
+  if (now < parts_[static_cast<size_t>(part)].take_after) return false;
   Share mine = ShareOf(draft->roster, team, part, s_.parts());
   Share missing = want;
   Share used = UsedBy(draft->roster, team.name, true);
@@ -641,12 +680,20 @@
     }
     if (now < p.cleanup_at) return;
   }
-  if (!write_budget_.Take(now, static_cast<double>(txn.writes.size()), urgent ? 0 : 2)) {
+  // What is not critical waits for its turn, so that a commit takes more.
+  if (!draft->critical && now - p.committed_at < kRoundPeriod) {
+    p.dirty = true;
+    p.not_before = p.committed_at + kRoundPeriod;
+    return;
+  }
+  const double reserve = draft->critical ? 2 : urgent ? 4 : 6;
+  if (!write_budget_.Take(now, static_cast<double>(txn.writes.size()), reserve)) {
     p.dirty = true;
     p.not_before = now + 50 * kMilli;
     return;
   }
   p.cleanup_at = 0;
+  p.committed_at = now;
   txn.conditions.emplace_back(ClaimKey(part), p.my_claim);
   auto all_chunks = [this, &txn](int q) {
     const Part& owner = parts_[static_cast<size_t>(q)];
@@ -695,6 +742,7 @@
            // The view is behind; the watch is about to tell. The claim itself
            // may be gone, which the watch or a sibling tells as well.
            ++counters_.commit_conflicts;
+           if (!shared->others.empty()) q.take_after = t + 250 * kMilli;
            ++q.conflicts;
            q.not_before = t + std::min<Micros>(200 * kMilli, (10 * kMilli) << std::min(q.conflicts, 5));
            if (reply) {
--- a/src/core/view.cc
+++ b/src/core/view.cc
@@ -244,6 +244,7 @@
       }
     }
   }
+  p.changed_at = now;
   p.roster = std::move(next);
   if (p.mine) SyncPart(now, part);
 }
--- a/src/mesh/codec.cc
+++ b/src/mesh/codec.cc
@@ -102,6 +102,16 @@
     PutVarint(&body, reply->id);
     PutVarint(&body, reply->status);
     PutText(&body, reply->body);
+  } else if (const auto* forward = std::get_if<Forward>(&message)) {
+    PutVarint(&body, forward->id);
+    PutText(&body, forward->method);
+    PutText(&body, forward->target);
+    PutText(&body, forward->body);
+  } else if (const auto* answer = std::get_if<ForwardReply>(&message)) {
+    PutVarint(&body, answer->id);
+    PutVarint(&body, answer->status);
+    PutVarint(&body, answer->retry_after_s);
+    PutText(&body, answer->body);
   }
   std::string out;
   PutVarint(&out, body.size());
@@ -132,6 +142,22 @@
       if (GetVarint(&in, &m.id) && GetVarint(&in, &m.status) && GetText(&in, &m.body)) return m;
       break;
     }
+    case 4: {
+      Forward m;
+      if (GetVarint(&in, &m.id) && GetText(&in, &m.method) && GetText(&in, &m.target) &&
+          GetText(&in, &m.body)) {
+        return m;
+      }
+      break;
+    }
+    case 5: {
+      ForwardReply m;
+      if (GetVarint(&in, &m.id) && GetVarint(&in, &m.status) &&
+          GetVarint(&in, &m.retry_after_s) && GetText(&in, &m.body)) {
+        return m;
+      }
+      break;
+    }
     default:
       break;
   }
--- a/src/mesh/codec.h
+++ b/src/mesh/codec.h
@@ -53,7 +53,23 @@
   bool operator==(const RelayReply&) const = default;
 };
 
-using Message = std::variant<Ping, Pong, Relay, RelayReply>;
+// A user's request that the sender cannot decide, and its answer.
+struct Forward {
+  uint64_t id = 0;
+  std::string method;
+  std::string target;
+  std::string body;
+  bool operator==(const Forward&) const = default;
+};
+struct ForwardReply {
+  uint64_t id = 0;
+  uint64_t status = 0;
+  uint64_t retry_after_s = 0;
+  std::string body;
+  bool operator==(const ForwardReply&) const = default;
+};
+
+using Message = std::variant<Ping, Pong, Relay, RelayReply, Forward, ForwardReply>;
 
 void PutVarint(std::string* out, uint64_t v);
 // Advances `in`; false when it ends early or does not fit 64 bits.
