--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -47,32 +47,15 @@
 }
 
 int Core::PartForJob(const JobSpec& spec) const {
-  // The part with most room: free cpus less what already waits there.
-  std::vector<double> room(parts_.size(), 0);
-  for (size_t p = 0; p < parts_.size(); ++p) {
+  // The part with most room: where most of its tasks could start now, given
+  // their zones, and then free cpus less what already waits there.
+  struct Room {
     double free = 0;
+    double waiting = 0;
+    int placeable = 0;
     bool warm = false;
-    for (const auto& [name, m] : parts_[p].roster.machines) {
-      const MachineType* type = TypeOf(m.type);
-      if (type == nullptr || m.leaving || !m.helps.empty()) continue;
-      Amount left = type->size;
-      bool has_image = false;
-      for (const Attempt& a : m.attempts) {
-        if (const JobEntry* job = FindJob(a.job)) {
-          left -= job->record.spec.each;
-          has_image = has_image || job->record.spec.image == spec.image;
-        }
-      }
-      if (!TypeAllowed(spec, m.type, m.spot)) continue;
-      if (left.cpus > 0) free += static_cast<double>(left.cpus);
-      warm = warm || (has_image && spec.each.Fits(left));
-    }
-    room[p] = free;
-    // A replica starts at once only where its image is.
-    if (spec.kind == JobKind::kService && warm) room[p] += 64000;
-    // Nobody owns it at the moment: it will wait for a takeover.
-    if (parts_[p].claim_version == 0) room[p] -= 1e9;
-  }
+  };
+  std::vector<Room> rooms(parts_.size());
   for (const auto& [id, entry] : jobs_) {
     const JobRecord& r = entry.record;
     if (r.state != JobState::kOpen || r.part < 0 || r.part >= s_.parts()) continue;
@@ -88,13 +71,67 @@
         for (const Attempt& a : m.attempts) waiting -= a.job == id ? 1 : 0;
       }
     }
-    if (waiting > 0) {
-      room[static_cast<size_t>(r.part)] -= static_cast<double>(waiting * r.spec.each.cpus);
+    // Only work that comes first counts against a critical job.
+    if (waiting > 0 && r.spec.priority >= spec.priority) {
+      rooms[static_cast<size_t>(r.part)].waiting +=
+          static_cast<double>(waiting * r.spec.each.cpus);
     }
   }
   size_t best = StableHash(spec.id) % parts_.size();
+  std::vector<double> score(parts_.size(), 0);
+  for (size_t p = 0; p < parts_.size(); ++p) {
+    Room& room = rooms[p];
+    JobSpread spread;
+    for (const auto& [name, m] : parts_[p].roster.machines) {
+      const MachineType* type = TypeOf(m.type);
+      if (type == nullptr || m.leaving || !m.helps.empty()) continue;
+      if (!TypeAllowed(spec, m.type, m.spot)) continue;
+      Amount left = type->size;
+      bool has_image = false;
+      for (const Attempt& a : m.attempts) {
+        if (const JobEntry* job = FindJob(a.job)) {
+          // What it may push aside is room for a critical job.
+          if (spec.priority == Priority::kProduction &&
+              job->record.spec.priority < spec.priority) {
+            continue;
+          }
+          left -= job->record.spec.each;
+          has_image = has_image || job->record.spec.image == spec.image;
+        }
+      }
+      if (left.cpus > 0) room.free += static_cast<double>(left.cpus);
+      if (m.addr.empty()) continue;  // still booting
+      PlaceMachine probe;
+      probe.type = m.type;
+      probe.zone = m.zone;
+      probe.spot = m.spot;
+      room.warm = room.warm || (has_image && spec.each.Fits(left));
+      while (room.placeable < spec.tasks && spec.each.Fits(left) &&
+             Allowed(spec, spread, probe)) {
+        left -= spec.each;
+        ++spread.by_zone[m.zone];
+        ++room.placeable;
+        if (spec.each.cpus <= 0) break;
+      }
+    }
+    double now_free = room.free - room.waiting;
+    int placeable = room.placeable;
+    if (spec.each.cpus > 0) {
+      placeable = static_cast<int>(
+          std::clamp(now_free / static_cast<double>(spec.each.cpus), 0.0,
+                     static_cast<double>(placeable)));
+    }
+    score[p] = now_free;
+    if (spec.kind != JobKind::kArray) score[p] += 1e8 * placeable / spec.tasks;
+    // A replica starts at once only where its image is.
+    if (spec.kind == JobKind::kService && room.warm) score[p] += 64000;
+    // Nobody owns it at the moment: it would wait for a takeover.
+    if (parts_[p].claim_version == 0) score[p] -= 1e12;
+    auto peer = peers_.find(parts_[p].claim.owner);
+    if (peer != peers_.end() && peer->second.heard < peers_heard_ - 1500 * kMilli) score[p] -= 1e11;
+  }
   for (size_t p = 0; p < parts_.size(); ++p) {
-    if (room[p] > room[best] + 1) best = p;
+    if (score[p] > score[best] + 1) best = p;
   }
   return static_cast<int>(best);
 }
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -232,6 +232,7 @@
       ++it;
     }
   }
+  peers_heard_ = now;
   RunForwards(now);
   while (!accepted_cancels_.empty() && accepted_cancels_.front().first + 2 * s_.cancel < now) {
     accepted_cancels_.pop_front();
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -344,6 +344,7 @@
     std::map<uint64_t, Micros> pings;  // in flight
   };
   std::map<std::string, Peer> peers_;
+  Micros peers_heard_ = 0;  // the time now, as far as gossip is concerned
   uint64_t ping_seq_ = 0;
   Micros next_gossip_ = 0;
   std::deque<std::pair<Micros, std::string>> accepted_cancels_;
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -392,7 +392,15 @@
     }
     if (no_machine && left > 0) {
       draft->unmet.push_back({&spec, left, tail});
-      if (spec.priority == Priority::kProduction) DraftPreemption(now, part, draft, spec);
+      if (spec.priority == Priority::kProduction) {
+        std::string why;
+        for (const PlaceMachine& m : draft->machines) {
+          if (m.spot) continue;
+          why += " " + m.zone + (m.usable ? "" : "!") + std::to_string(m.free.cpus / 1000) + (Allowed(spec, spread, m) ? "" : "x");
+        }
+        Log(LogLine::Level::kDebug, "no room for " + spec.id + " left " + std::to_string(left) + why);
+        DraftPreemption(now, part, draft, spec);
+      }
     }
   }
   p.batch = started >= batch ? std::min(batch * 2, s_.op.batch_most()) : s_.op.batch();
