Small jobs first in overload; unstarted jobs move to a part with room

Cause (inzu rough): 52 jobs waited while the machines were full, large ones ahead of small; some parts had room while others queued.

--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -204,6 +204,7 @@
          range("array_headroom_share", o.array_headroom_share(), 0, 10) &&
          range("machine_failures", o.machine_failures(), 1, 1000) &&
          range("job_failures", o.job_failures(), 1, 1000) &&
+         range("overload_s", o.overload_s(), 0, 1e6) &&
          range("batch", o.batch(), 1, 100000) &&
          range("batch_most", o.batch_most(), o.batch(), 100000);
 }
--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -46,17 +46,12 @@
   return "";
 }
 
-int Core::PartForJob(const JobSpec& spec) const {
-  // The part with most room: where most of its tasks could start now, given
-  // their zones, and then free cpus less what already waits there.
-  struct Room {
-    double free = 0;
-    double waiting = 0;
-    int placeable = 0;
-    bool warm = false;
-  };
+// What each part has for a job: where its tasks could start now, given their
+// zones, and free cpus less what already waits there.
+std::vector<Core::Room> Core::RoomsFor(const JobSpec& spec) const {
   std::vector<Room> rooms(parts_.size());
   for (const auto& [id, entry] : jobs_) {
+    if (id == spec.id) continue;
     const JobRecord& r = entry.record;
     if (r.state != JobState::kOpen || r.part < 0 || r.part >= s_.parts()) continue;
     const Part& p = parts_[static_cast<size_t>(r.part)];
@@ -77,8 +72,6 @@
           static_cast<double>(waiting * r.spec.each.cpus);
     }
   }
-  size_t best = StableHash(spec.id) % parts_.size();
-  std::vector<double> score(parts_.size(), 0);
   for (size_t p = 0; p < parts_.size(); ++p) {
     Room& room = rooms[p];
     JobSpread spread;
@@ -114,21 +107,31 @@
         if (spec.each.cpus <= 0) break;
       }
     }
-    double now_free = room.free - room.waiting;
-    int placeable = room.placeable;
+    room.now_free = room.free - room.waiting;
     if (spec.each.cpus > 0) {
-      placeable = static_cast<int>(
-          std::clamp(now_free / static_cast<double>(spec.each.cpus), 0.0,
-                     static_cast<double>(placeable)));
+      room.placeable = static_cast<int>(
+          std::clamp(room.now_free / static_cast<double>(spec.each.cpus), 0.0,
+                     static_cast<double>(room.placeable)));
     }
-    score[p] = now_free;
-    if (spec.kind != JobKind::kArray) score[p] += 1e8 * placeable / spec.tasks;
+    auto peer = peers_.find(parts_[p].claim.owner);
+    room.owned = parts_[p].claim_version != 0 &&
+                 (peer == peers_.end() || now_ - peer->second.heard < 1500 * kMilli);
+  }
+  return rooms;
+}
+
+int Core::PartForJob(const JobSpec& spec) const {
+  std::vector<Room> rooms = RoomsFor(spec);
+  size_t best = StableHash(spec.id) % parts_.size();
+  std::vector<double> score(parts_.size(), 0);
+  for (size_t p = 0; p < parts_.size(); ++p) {
+    const Room& room = rooms[p];
+    score[p] = room.now_free;
+    if (spec.kind != JobKind::kArray) score[p] += 1e8 * room.placeable / spec.tasks;
     // A replica starts at once only where its image is.
     if (spec.kind == JobKind::kService && room.warm) score[p] += 64000;
     // Nobody owns it at the moment: it would wait for a takeover.
-    if (parts_[p].claim_version == 0) score[p] -= 1e12;
-    auto peer = peers_.find(parts_[p].claim.owner);
-    if (peer != peers_.end() && peer->second.heard < peers_heard_ - 1500 * kMilli) score[p] -= 1e11;
+    if (!room.owned) score[p] -= 1e12;
   }
   for (size_t p = 0; p < parts_.size(); ++p) {
     if (score[p] > score[best] + 1) best = p;
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -232,7 +232,7 @@
       ++it;
     }
   }
-  peers_heard_ = now;
+  now_ = now;
   RunForwards(now);
   while (!accepted_cancels_.empty() && accepted_cancels_.front().first + 2 * s_.cancel < now) {
     accepted_cancels_.pop_front();
@@ -270,6 +270,7 @@
   put("gone_total", c.gone);
   put("takes_total", c.takes);
   put("share_moves_total", c.share_moves);
+  put("job_moves_total", c.job_moves);
   put("hired_total", c.hired);
   put("refused_hires_total", c.refused_hires);
   put("returned_total", c.returned);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -27,7 +27,7 @@
   uint64_t reports = 0, redirects = 0, relays = 0, forwards = 0;
   uint64_t commits = 0, commit_conflicts = 0, commit_unknown = 0, puts = 0;
   uint64_t state_calls = 0, cloud_calls = 0, worker_calls = 0, worker_unknown = 0;
-  uint64_t starts = 0, stops = 0, gone = 0, takes = 0, share_moves = 0;
+  uint64_t starts = 0, stops = 0, gone = 0, takes = 0, share_moves = 0, job_moves = 0;
   uint64_t hired = 0, refused_hires = 0, returned = 0, adopted = 0;
   uint64_t claims = 0, lost_claims = 0, handed_back = 0;
   uint64_t tails = 0, helpers = 0, overdue = 0, preempted = 0, fences = 0;
@@ -156,6 +156,15 @@
   void Abort(Micros now, Query query);
   void FetchJob(Micros now, const std::string& id);
   JobStatus StatusOf(const std::string& id, const JobEntry& entry) const;
+  struct Room {
+    double free = 0;       // cpus
+    double waiting = 0;    // cpus that wait there and come first
+    double now_free = 0;
+    int placeable = 0;     // tasks that could start now
+    bool warm = false;     // its image is there
+    bool owned = false;    // by a node that lives
+  };
+  std::vector<Room> RoomsFor(const JobSpec& spec) const;
   int PartForJob(const JobSpec& spec) const;
   // Empty: it can run.
   std::string NeverRuns(const JobSpec& spec) const;
@@ -243,8 +252,7 @@
     int hint = 0;  // no waiting task before this one
     std::vector<Micros> durations;
     std::set<int> moved;  // tasks that were moved to steady machines once
-    bool finishing = false;
-    bool loaded = false;
+    Micros unmet_since = 0;  // waits without a machine since then
   };
   enum : uint8_t { kWaiting = 0, kPlaced = 1, kDone = 2 };
   JobRun* RunOf(const std::string& job);
@@ -274,6 +282,8 @@
   bool SpreadServices(int part) const;
   // The last moment at which the rest of a job may start and still be in time.
   Micros LatestStart(const JobRecord& record) const;
+  void DraftMoves(Micros now, int part, Draft* draft);
+  uint64_t NextNumber(int part, Draft* draft) const;
   void DraftAdoption(Micros now, int part, Draft* draft);
   void DraftReturns(Micros now, int part, Draft* draft);
   void AddHire(int part, Draft* draft, const Offer& offer, bool spot, int count,
@@ -344,7 +354,7 @@
     std::map<uint64_t, Micros> pings;  // in flight
   };
   std::map<std::string, Peer> peers_;
-  Micros peers_heard_ = 0;  // the time now, as far as gossip is concerned
+  Micros now_ = 0;  // of the last tick
   uint64_t ping_seq_ = 0;
   Micros next_gossip_ = 0;
   std::deque<std::pair<Micros, std::string>> accepted_cancels_;
--- a/src/core/draft.h
+++ b/src/core/draft.h
@@ -27,6 +27,7 @@
   std::vector<std::string> done;  // jobs to be called done
   std::vector<std::string> hires;
   std::vector<Unmet> unmet;
+  std::map<std::string, int> moved;  // jobs that go to another part
   bool urgent = false;
   bool critical = false;          // starts work of the highest priority
   bool all_rosters = false;       // conditional on every roster (adoption)
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -78,7 +78,7 @@
   // Unique for ever: the number comes from the roster, in whose commit it is
   // used up before the request is sent.
   hire.ask.request = "troutlink-" + std::to_string(part) + "-" +
-                     std::to_string(draft->roster.next_number++);
+                     std::to_string(NextNumber(part, draft));
   hire.ask.type = offer.type->name;
   hire.ask.zone = offer.zone;
   hire.ask.spot = spot;
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -197,9 +197,7 @@
                                  std::to_string(revision));
   // Whatever we knew of its attempts may be of an earlier ownership.
   for (auto it = attempts_.begin(); it != attempts_.end();) {
-    bool of_part = false;
-    if (const JobEntry* job = FindJob(it->first.job)) of_part = job->record.part == part;
-    it = of_part ? attempts_.erase(it) : std::next(it);
+    it = it->second.part == part ? attempts_.erase(it) : std::next(it);
   }
   for (auto it = runs_.begin(); it != runs_.end();) {
     it = it->second.part == part ? runs_.erase(it) : std::next(it);
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -230,6 +230,7 @@
   DraftAdoption(now, part, &draft);
   DraftTail(now, part, &draft);
   DraftPlacement(now, part, &draft);
+  DraftMoves(now, part, &draft);
   DraftFleet(now, part, &draft);
   DraftReturns(now, part, &draft);
   draft.fence = p.fence;
@@ -262,6 +263,38 @@
   std::erase_if(draft->roster.helps, [this](const auto& h) { return runs_.count(h.first) == 0; });
 }
 
+// Attempt numbers differ between parts, so that a job may change its part.
+uint64_t Core::NextNumber(int part, Draft* draft) const {
+  return draft->roster.next_number++ * parts_.size() + static_cast<uint64_t>(part);
+}
+
+// A job of which nothing has started and that finds no room here goes to a part
+// that has it.
+void Core::DraftMoves(Micros now, int part, Draft* draft) {
+  for (const Draft::Unmet& u : draft->unmet) {
+    if (draft->moved.size() >= 3) break;
+    const JobSpec& spec = *u.spec;
+    JobRun* run = RunOf(spec.id);
+    if (run == nullptr || run->done > 0 || run->placed > 0 || draft->jobs.count(spec.id) != 0) {
+      continue;
+    }
+    Micros patience = spec.priority == Priority::kProduction ? 60 * kMilli : 1500 * kMilli;
+    if (run->unmet_since == 0 || now - run->unmet_since < patience) continue;
+    std::vector<Room> rooms = RoomsFor(spec);
+    int best = -1;
+    for (int q = 0; q < s_.parts(); ++q) {
+      const Room& room = rooms[static_cast<size_t>(q)];
+      if (q == part || !room.owned || room.placeable < std::min(spec.tasks, 8)) continue;
+      if (best < 0 || room.now_free > rooms[static_cast<size_t>(best)].now_free) best = q;
+    }
+    if (best < 0) continue;
+    draft->moved[spec.id] = best;
+    draft->urgent = true;
+    draft->critical = draft->critical || spec.priority == Priority::kProduction;
+    run->unmet_since = now;  // not again at once
+  }
+}
+
 void Core::DraftPlacement(Micros now, int part, Draft* draft) {
   Part& p = parts_[static_cast<size_t>(part)];
   struct Waiting {
@@ -271,6 +304,7 @@
     bool within;
     bool late;
     Micros key;
+    double work;  // cpu seconds that wait
   };
   std::map<std::string, Share> everywhere;  // by team, over all parts
   for (const Team& t : s_.teams) {
@@ -304,15 +338,25 @@
     Micros key = LatestStart(job->record);
     bool late = spec.kind != JobKind::kService && key < WallNow(now);
     if (late) key = job->record.submitted;
-    waiting.push_back({&spec, &run, left, within, late, key});
+    double work = static_cast<double>(left * spec.each.cpus) / 1000 * ToSeconds(spec.estimate);
+    waiting.push_back({&spec, &run, left, within, late, key, work});
   }
   double decay = p.peak_at == 0 ? 0 : std::max(0.0, 1.0 - ToSeconds(now - p.peak_at) / 60.0);
   p.array_peak = std::max(array_cpus, p.array_peak * decay);
   p.peak_at = now;
-  std::sort(waiting.begin(), waiting.end(), [](const Waiting& a, const Waiting& b) {
+  // With more waiting than machines can do soon, not all can be in time: small
+  // jobs go first then, and most of them are.
+  double backlog = 0, capacity = 0;
+  for (const Waiting& w : waiting) backlog += w.work;
+  for (const PlaceMachine& m : draft->machines) {
+    if (m.usable) capacity += static_cast<double>(m.size.cpus) / 1000;
+  }
+  const bool overload = backlog > capacity * s_.op.overload_s();
+  std::sort(waiting.begin(), waiting.end(), [overload](const Waiting& a, const Waiting& b) {
     if (a.spec->priority != b.spec->priority) return a.spec->priority > b.spec->priority;
     if (a.within != b.within) return a.within;
     if (a.late != b.late) return b.late;
+    if (overload && a.work != b.work) return a.work < b.work;
     if (a.key != b.key) return a.key < b.key;
     return a.spec->id < b.spec->id;
   });
@@ -371,8 +415,8 @@
       used.gpus += spec.each.gpus;
       // The tasks of a gang find each other by a common attempt.
       Attempt a{spec.id, static_cast<int>(i),
-                gang && left < w.tasks ? draft->roster.next_number - 1
-                                       : draft->roster.next_number++};
+                gang && left < w.tasks ? draft->started.back().second.number
+                                       : NextNumber(part, draft)};
       draft->roster.machines[machine.name].attempts.push_back(a);
       draft->started.emplace_back(machine.name, a);
       draft->jobs.insert(spec.id);
@@ -382,6 +426,7 @@
       }
       ++started;
       --left;
+      w.run->unmet_since = 0;
       draft->urgent = true;
       draft->critical = draft->critical || spec.priority == Priority::kProduction;
     }
@@ -392,15 +437,8 @@
     }
     if (no_machine && left > 0) {
       draft->unmet.push_back({&spec, left, tail});
-      if (spec.priority == Priority::kProduction) {
-        std::string why;
-        for (const PlaceMachine& m : draft->machines) {
-          if (m.spot) continue;
-          why += " " + m.zone + (m.usable ? "" : "!") + std::to_string(m.free.cpus / 1000) + (Allowed(spec, spread, m) ? "" : "x");
-        }
-        Log(LogLine::Level::kDebug, "no room for " + spec.id + " left " + std::to_string(left) + why);
-        DraftPreemption(now, part, draft, spec);
-      }
+      if (w.run->unmet_since == 0) w.run->unmet_since = now;
+      if (spec.priority == Priority::kProduction) DraftPreemption(now, part, draft, spec);
     }
   }
   p.batch = started >= batch ? std::min(batch * 2, s_.op.batch_most()) : s_.op.batch();
@@ -658,6 +696,17 @@
     draft->jobs.erase(id);
     txn.writes.push_back({JobKey(id), EncodeJob(record), 0, false});
   }
+  for (const auto& [id, to] : draft->moved) {
+    const JobEntry* job = FindJob(id);
+    if (job == nullptr || job->record.state != JobState::kOpen) continue;
+    if (static_cast<int>(txn.writes.size()) + 2 > s_.txn_ops) break;
+    JobRecord record = job->record;
+    record.part = to;
+    txn.conditions.emplace_back(JobKey(id), job->version);
+    draft->jobs.erase(id);
+    txn.writes.push_back({JobKey(id), EncodeJob(record), 0, false});
+    ++counters_.job_moves;
+  }
   if (draft->progress) {
     Progress progress;
     for (const auto& [id, run] : runs_) {
--- a/src/core/view.cc
+++ b/src/core/view.cc
@@ -145,7 +145,12 @@
           Touch(part);
         }
         DropFinishedSpec(&entry);
-      } else if (known_part && parts_[static_cast<size_t>(part)].mine) {
+      } else {
+        auto run = runs_.find(k.id);
+        if (run != runs_.end() && run->second.part != part) runs_.erase(run);  // it moved
+      }
+      if (entry.record.state == JobState::kOpen && known_part &&
+          parts_[static_cast<size_t>(part)].mine) {
         LoadRun(part, k.id, entry);
         Touch(part);
       }
