--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -205,6 +205,8 @@
          range("machine_failures", o.machine_failures(), 1, 1000) &&
          range("job_failures", o.job_failures(), 1, 1000) &&
          range("overload_s", o.overload_s(), 0, 1e6) &&
+         range("consolidate_after_s", o.consolidate_after_s(), 0, 86400) &&
+         range("team_headroom_cpus", o.team_headroom_cpus(), 0, 1e6) &&
          range("batch", o.batch(), 1, 100000) &&
          range("batch_most", o.batch_most(), o.batch(), 100000);
 }
--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -244,6 +244,7 @@
          if (status == 200 && reply) {
            ApplyPut(t, write.key, write.value, reply->revision);
            ++counters_.accepted;
+           Log(LogLine::Level::kDebug, "accepted " + query.id);
            Answer(query.request, 201, wire::EncodeJobState(query.id, "queued"));
          } else if (status == 409) {
            // Known already: by a repeat, a late copy or another node.
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -271,6 +271,7 @@
   put("takes_total", c.takes);
   put("share_moves_total", c.share_moves);
   put("job_moves_total", c.job_moves);
+  put("consolidated_total", c.consolidated);
   put("hired_total", c.hired);
   put("refused_hires_total", c.refused_hires);
   put("returned_total", c.returned);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -27,7 +27,7 @@
   uint64_t reports = 0, redirects = 0, relays = 0, forwards = 0;
   uint64_t commits = 0, commit_conflicts = 0, commit_unknown = 0, puts = 0;
   uint64_t state_calls = 0, cloud_calls = 0, worker_calls = 0, worker_unknown = 0;
-  uint64_t starts = 0, stops = 0, gone = 0, takes = 0, share_moves = 0, job_moves = 0;
+  uint64_t starts = 0, stops = 0, gone = 0, takes = 0, share_moves = 0, job_moves = 0, consolidated = 0;
   uint64_t hired = 0, refused_hires = 0, returned = 0, adopted = 0;
   uint64_t claims = 0, lost_claims = 0, handed_back = 0;
   uint64_t tails = 0, helpers = 0, overdue = 0, preempted = 0, fences = 0;
@@ -89,6 +89,8 @@
     Micros cleanup_at = 0;
     int conflicts = 0;
     Micros take_after = 0;      // other parts are left alone until then
+    Micros calm_since = 0;      // nothing has waited since
+    Micros consolidate_at = 0;
     Micros changed_at = 0;      // last change of the roster
     Micros progress_at = 0;
     bool progress_dirty = false;
@@ -213,6 +215,7 @@
     Micros idle_since = 0;
     Micros avoid_until = 0;    // refused a start for lack of room
     uint64_t owned_claim = 0;  // claim under which it was last in a roster of ours
+    bool drain = false;        // being cleared to be given back
     bool give_up = false;      // to be returned even with tasks on it
     std::vector<TaskReport> tasks;
     std::map<std::string, Micros> images;  // by last use
@@ -269,6 +272,7 @@
   void DraftFleet(Micros now, int part, Draft* draft);
   void DraftTail(Micros now, int part, Draft* draft);
   void DraftPlacement(Micros now, int part, Draft* draft);
+  void PreemptTeam(Micros now, int part, Draft* draft, const JobSpec& spec);
   void DraftPreemption(Micros now, int part, Draft* draft, const JobSpec& spec);
   bool DraftTake(Micros now, int part, Draft* draft, const JobSpec& spec);
   bool DraftShare(Micros now, int part, Draft* draft, const Team& team, const Share& want);
@@ -282,6 +286,7 @@
   bool SpreadServices(int part) const;
   // The last moment at which the rest of a job may start and still be in time.
   Micros LatestStart(const JobRecord& record) const;
+  void Consolidate(Micros now, int part, Draft* draft);
   void DraftMoves(Micros now, int part, Draft* draft);
   uint64_t NextNumber(int part, Draft* draft) const;
   void DraftAdoption(Micros now, int part, Draft* draft);
@@ -335,6 +340,7 @@
   Micros view_at_ = 0;   // the view holds every change made before this time
   Micros state_ok_ = 0;  // last answer of the state service
   std::unordered_map<std::string, JobEntry> jobs_;
+  std::set<std::string> service_teams_;  // that ever had a service
   std::vector<Part> parts_;
   std::map<std::string, int> machine_part_;
 
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -187,8 +187,13 @@
     (m.spot ? spot_free : steady_free) += std::max<int64_t>(0, m.free.cpus);
   }
   const int64_t headroom = SteadyHeadroom(part);
+  double array_cpus = 0, ahead = 0;
+  for (const PlaceMachine& m : draft->machines) {
+    if (m.usable && m.spot) array_cpus += static_cast<double>(m.size.cpus) / 1000;
+  }
   for (const Draft::Unmet& u : draft->unmet) {
     const JobSpec& spec = *u.spec;
+    ahead += static_cast<double>(u.tasks * spec.each.cpus) / 1000 * ToSeconds(spec.estimate);
     JobSpread spread = draft->SpreadOf(spec.id);
     double share = spec.kind == JobKind::kService ? 1.0 : s_.op.rent_share();
     int left = static_cast<int>(std::ceil(u.tasks * share));
@@ -215,6 +220,13 @@
     Offer offer;
     bool spot = spec.spot && !u.tail && PickOffer(now, spec, spread, true, draft->roster, &offer);
     if (!spot && !PickOffer(now, spec, spread, false, draft->roster, &offer)) continue;
+    if (!spot && spec.spot && spec.kind == JobKind::kArray && !u.tail) {
+      // Steady machines cost several times as much: only for what would be late
+      // if it waited for its turn on those that are there.
+      const JobEntry* job = FindJob(spec.id);
+      Micros wait = array_cpus <= 0 ? 3600 * kSecond : FromSeconds(ahead / array_cpus);
+      if (job != nullptr && WallNow(now) + wait < LatestStart(job->record)) continue;
+    }
     int per = TasksPer(spec, *offer.type);
     int machines = (left + per - 1) / per;
     if (spec.spread) machines = std::min(machines, SpreadLimit(spec));
@@ -262,6 +274,11 @@
       continue;
     }
     if (!m.attempts.empty() || info.idle_since == 0) continue;
+    if (info.drain) {
+      m.leaving = true;
+      draft->urgent = true;
+      continue;
+    }
     if (!m.helps.empty()) {
       // A helper without a task goes back at once, as soon as none waits for it.
       JobRun* run = RunOf(m.helps);
@@ -289,6 +306,79 @@
   }
 }
 
+// Replicas come and go, and leave machines with one or two on each. When the
+// others have room for them and still keep the headroom, the emptiest machine
+// is cleared, replica by replica, and given back. A replica only moves to a
+// machine that has its image: it is away for some ten milliseconds.
+void Core::Consolidate(Micros now, int part, Draft* draft) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  if (!draft->unmet.empty() || !draft->roster.hires.empty()) {
+    p.calm_since = now;
+    for (const auto& [name, m] : draft->roster.machines) machines_[name].drain = false;
+    return;
+  }
+  if (p.calm_since == 0) p.calm_since = now;
+  if (now < p.consolidate_at || now - p.calm_since < FromSeconds(s_.op.consolidate_after_s())) return;
+  p.consolidate_at = now + 500 * kMilli;
+  int64_t steady_free = 0;
+  for (const PlaceMachine& m : draft->machines) {
+    if (m.usable && !m.spot && m.helps.empty()) steady_free += std::max<int64_t>(0, m.free.cpus);
+  }
+  const int64_t headroom = SteadyHeadroom(part);
+  // The one being cleared goes first, else the one with least on it.
+  const PlaceMachine* best = nullptr;
+  int64_t best_used = 0;
+  for (const PlaceMachine& m : draft->machines) {
+    const MachineInfo& info = machines_[m.name];
+    if (m.spot || !m.helps.empty() || (!m.usable && !info.drain)) continue;
+    int64_t used = m.size.cpus - m.free.cpus;
+    if (used <= 0 || (!info.drain && 2 * used > m.size.cpus)) continue;
+    if (!info.drain && steady_free - m.free.cpus - used < headroom) continue;
+    if (info.drain) used = -1;
+    if (best == nullptr || used < best_used) {
+      best = &m;
+      best_used = used;
+    }
+  }
+  if (best == nullptr) return;
+  // All of it must have a place elsewhere.
+  std::vector<PlaceMachine> others;
+  for (const PlaceMachine& m : draft->machines) {
+    if (m.name != best->name && m.usable && !m.spot) others.push_back(m);
+  }
+  std::vector<std::pair<Attempt, AttemptInfo*>> moves;
+  bool settled = true;
+  for (const Attempt& a : draft->roster.machines[best->name].attempts) {
+    auto at = attempts_.find(a);
+    const JobEntry* job = FindJob(a.job);
+    if (at == attempts_.end() || job == nullptr) return;
+    if (at->second.stopping) settled = false;
+    const JobSpec& spec = job->record.spec;
+    if (at->second.gone || job->record.state != JobState::kOpen || at->second.stopping) continue;
+    if (spec.kind != JobKind::kService) return;  // will be over by itself
+    // A start that is stopped soon was no start.
+    if (at->second.running_at == 0 || now - at->second.running_at < 40 * kSecond) return;
+    JobSpread spread = draft->SpreadOf(spec.id);
+    --spread.by_zone[best->zone];
+    PlaceRequest request;
+    request.spec = &spec;
+    request.spread = &spread;
+    int to = ChooseMachine(request, others);
+    if (to < 0) return;
+    PlaceMachine& target = others[static_cast<size_t>(to)];
+    auto image = target.images.find(spec.image);
+    if (!spec.image.empty() && (image == target.images.end() || !image->second)) return;
+    target.free -= spec.each;
+    ++target.tasks[spec.id];
+    moves.emplace_back(a, &at->second);
+  }
+  machines_[best->name].drain = true;
+  if (!settled || moves.empty()) return;
+  ++counters_.consolidated;
+  StopAttempt(now, moves.front().first, moves.front().second, 0);
+  Push(now, part, best->name);
+}
+
 void Core::SendHire(Micros now, int part, const std::string& request) {
   Part& p = parts_[static_cast<size_t>(part)];
   auto hire = p.roster.hires.find(request);
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -107,7 +107,7 @@
 }
 
 bool Core::Usable(Micros now, const RosterMachine& m, const MachineInfo& info) const {
-  if (m.leaving || info.give_up || info.failed || info.notice_end != 0) return false;
+  if (m.leaving || info.give_up || info.failed || info.notice_end != 0 || info.drain) return false;
   if (info.session == 0 || now < info.avoid_until) return false;
   if (now - info.heard > 2 * s_.report + kSecond) return false;
   return !health_.Sick(m.name);
@@ -233,6 +233,7 @@
   DraftMoves(now, part, &draft);
   DraftFleet(now, part, &draft);
   DraftReturns(now, part, &draft);
+  Consolidate(now, part, &draft);
   draft.fence = p.fence;
   for (auto& [id, run] : runs_) {
     if (run.part != part || run.done < static_cast<int>(run.tasks.size())) continue;
@@ -375,6 +376,13 @@
     Share used = UsedBy(draft->roster, spec.team, true);
     bool tail = draft->roster.helps.count(spec.id) != 0;
     JobSpread& spread = draft->SpreadOf(spec.id);
+    // Arrays leave a little of the team's limit to its own services.
+    Share kept;
+    if (spec.priority != Priority::kProduction && service_teams_.count(spec.team) != 0) {
+      kept.cpus = std::min<int64_t>(static_cast<int64_t>(1000 * s_.op.team_headroom_cpus()),
+                                    team.cpus_max / 4) /
+                  s_.parts();
+    }
     bool asked_share = false;
     const bool gang = spec.kind == JobKind::kGang;
     std::unique_ptr<Draft> before = gang ? std::make_unique<Draft>(*draft) : nullptr;
@@ -383,12 +391,17 @@
     for (size_t i = static_cast<size_t>(w.run->hint); i < w.run->tasks.size() && left > 0; ++i) {
       if (w.run->tasks[i] != kWaiting) continue;
       if (started >= batch && !gang) break;
-      if (!WithinShare(team, ShareOf(draft->roster, team, part, s_.parts()), used, spec.each)) {
+      auto within = [&] {
+        Share share = ShareOf(draft->roster, team, part, s_.parts());
+        share.cpus -= kept.cpus;
+        return WithinShare(team, share, used, spec.each);
+      };
+      if (!within()) {
         if (asked_share) break;
         asked_share = true;
-        Share want{spec.each.cpus * left, spec.each.gpus * left};
-        if (!DraftShare(now, part, draft, team, want)) break;
-        if (!WithinShare(team, ShareOf(draft->roster, team, part, s_.parts()), used, spec.each)) {
+        Share want{spec.each.cpus * left + kept.cpus, spec.each.gpus * left};
+        if (!DraftShare(now, part, draft, team, want) || !within()) {
+          if (spec.priority == Priority::kProduction) PreemptTeam(now, part, draft, spec);
           break;
         }
       }
@@ -444,6 +457,34 @@
   p.batch = started >= batch ? std::min(batch * 2, s_.op.batch_most()) : s_.op.batch();
 }
 
+// A critical job is held up by its own team's limit: a less important task of
+// that team makes way.
+void Core::PreemptTeam(Micros now, int part, Draft* draft, const JobSpec& spec) {
+  const Attempt* best = nullptr;
+  AttemptInfo* best_info = nullptr;
+  for (const auto& [name, m] : draft->roster.machines) {
+    for (const Attempt& a : m.attempts) {
+      auto at = attempts_.find(a);
+      const JobEntry* job = FindJob(a.job);
+      if (at == attempts_.end() || job == nullptr || job->record.spec.team != spec.team) continue;
+      if (job->record.spec.priority >= spec.priority || at->second.gone) continue;
+      if (at->second.stopping) return;  // under way
+      if (!at->second.seen) continue;
+      if (best == nullptr || at->second.running_at == 0 ||
+          at->second.running_at > best_info->running_at) {
+        best = &a;
+        best_info = &at->second;
+      }
+    }
+  }
+  if (best == nullptr) return;
+  const JobEntry* job = FindJob(best->job);
+  ++counters_.preempted;
+  StopAttempt(now, *best, best_info,
+              job->record.spec.checkpoint > 0 ? job->record.spec.save + kSecond : 0);
+  Push(now, part, best_info->machine);
+}
+
 // Makes room for critical work by stopping the least important work that is in
 // its way. What is being stopped already counts as room to come.
 void Core::DraftPreemption(Micros now, int part, Draft* draft, const JobSpec& spec) {
--- a/src/core/view.cc
+++ b/src/core/view.cc
@@ -128,6 +128,9 @@
       JobEntry& entry = jobs_[k.id];
       entry.record = std::move(*record);
       entry.version = version;
+      if (entry.record.spec.kind == JobKind::kService) {
+        service_teams_.insert(entry.record.spec.team);
+      }
       int part = entry.record.part;
       bool known_part = part >= 0 && part < s_.parts();
       if (entry.record.state != JobState::kOpen) {
--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -187,7 +187,12 @@
         at.seen = true;
         if (at.session == 0) at.session = report.session;
       }
-      if (t.state == TaskState::kRunning && at.running_at == 0) at.running_at = now;
+      if (t.state == TaskState::kRunning && at.running_at == 0) {
+        at.running_at = now;
+        Log(LogLine::Level::kDebug, "running " + a.job + "/" + std::to_string(a.task) + " on " +
+                                        machine.name + " after " +
+                                        std::to_string((now - at.placed_at) / kMilli) + " ms");
+      }
       at.state = t.state;
       if (t.state != TaskState::kFetching) {
         if (const JobEntry* job = FindJob(a.job)) {
