--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -74,7 +74,7 @@
   }
   for (size_t p = 0; p < parts_.size(); ++p) {
     Room& room = rooms[p];
-    JobSpread spread;
+    JobSpread spread, warm_spread;
     for (const auto& [name, m] : parts_[p].roster.machines) {
       const MachineType* type = TypeOf(m.type);
       if (type == nullptr || m.leaving || !m.helps.empty()) continue;
@@ -98,7 +98,15 @@
       probe.type = m.type;
       probe.zone = m.zone;
       probe.spot = m.spot;
-      room.warm = room.warm || (has_image && spec.each.Fits(left));
+      auto info = machines_.find(name);
+      has_image = has_image || (info != machines_.end() &&
+                                info->second.images.count(spec.image) != 0);
+      for (Amount rest = left; has_image && room.warm < spec.tasks && spec.each.Fits(rest) &&
+                               spec.each.cpus > 0 && Allowed(spec, warm_spread, probe);) {
+        rest -= spec.each;
+        ++warm_spread.by_zone[m.zone];
+        ++room.warm;
+      }
       while (room.placeable < spec.tasks && spec.each.Fits(left) &&
              Allowed(spec, spread, probe)) {
         left -= spec.each;
@@ -129,7 +137,7 @@
     score[p] = room.now_free;
     if (spec.kind != JobKind::kArray) score[p] += 1e8 * room.placeable / spec.tasks;
     // A replica starts at once only where its image is.
-    if (spec.kind == JobKind::kService && room.warm) score[p] += 64000;
+    if (spec.kind == JobKind::kService) score[p] += 1e7 * room.warm / spec.tasks;
     // Nobody owns it at the moment: it would wait for a takeover.
     if (!room.owned) score[p] -= 1e12;
   }
@@ -237,14 +245,14 @@
   txn.writes.push_back({JobKey(query.id), EncodeJob(record), 0, false});
   ++counters_.puts;
   Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kCommitTimeout,
-       [this, query, write = txn.writes[0]](Micros t, int status, const std::string& body) {
+       [this, query, write = txn.writes[0], job_class = record.spec.job_class](Micros t, int status, const std::string& body) {
          std::optional<wire::TxnReply> reply;
          if (status == 200 || status == 409) reply = wire::DecodeTxnReply(body);
          if (reply) state_ok_ = t;
          if (status == 200 && reply) {
            ApplyPut(t, write.key, write.value, reply->revision);
            ++counters_.accepted;
-           Log(LogLine::Level::kDebug, "accepted " + query.id);
+           Log(LogLine::Level::kDebug, "accepted " + query.id + " " + job_class);
            Answer(query.request, 201, wire::EncodeJobState(query.id, "queued"));
          } else if (status == 409) {
            // Known already: by a repeat, a late copy or another node.
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -163,7 +163,7 @@
     double waiting = 0;    // cpus that wait there and come first
     double now_free = 0;
     int placeable = 0;     // tasks that could start now
-    bool warm = false;     // its image is there
+    int warm = 0;          // the same where its image is
     bool owned = false;    // by a node that lives
   };
   std::vector<Room> RoomsFor(const JobSpec& spec) const;
@@ -286,6 +286,7 @@
   bool SpreadServices(int part) const;
   // The last moment at which the rest of a job may start and still be in time.
   Micros LatestStart(const JobRecord& record) const;
+  bool LastOfZone(const Roster& roster, const std::string& machine) const;
   void Consolidate(Micros now, int part, Draft* draft);
   void DraftMoves(Micros now, int part, Draft* draft);
   uint64_t NextNumber(int part, Draft* draft) const;
@@ -340,6 +341,8 @@
   Micros view_at_ = 0;   // the view holds every change made before this time
   Micros state_ok_ = 0;  // last answer of the state service
   std::unordered_map<std::string, JobEntry> jobs_;
+  bool spread_seen_ = false;  // some service spreads over zones
+  std::set<std::string> service_images_;
   std::set<std::string> service_teams_;  // that ever had a service
   std::vector<Part> parts_;
   std::map<std::string, int> machine_part_;
@@ -396,6 +399,7 @@
   Micros machines_asked_ = 0;
   std::vector<ListedMachine> listed_;
   std::map<std::string, Micros> stray_since_;
+  std::map<std::string, Micros> departed_;  // left the rosters: lists still show them
   struct Pause {
     Micros until = 0;
     int refusals = 0;
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -12,7 +12,6 @@
 constexpr Micros kCloudTimeout = 5 * kSecond;
 constexpr Micros kTypesPeriod = 60 * kSecond;
 constexpr Micros kJudgePeriod = 250 * kMilli;
-constexpr Micros kAdoptAfter = 300 * kMilli;
 constexpr Micros kStrayAfter = 20 * kSecond;
 constexpr int kMostPerRental = 50;
 constexpr int kPageLimit = 500;
@@ -128,6 +127,7 @@
                    const std::string& zone, bool spot) {
     if (static_cast<int>(StableHash(name) % parts_.size()) != part) return;
     if (PartOfMachine(name) >= 0 || draft->roster.machines.count(name) != 0) return;
+    if (departed_.count(name) != 0) return;
     if (wanted(type, zone, spot)) return;  // may be the answer to come
     RosterMachine m;
     m.name = name;
@@ -144,15 +144,19 @@
   for (const auto& [name, report] : unknown_) {
     if (adopted >= 50) break;
     if (returned_.count(name) != 0) continue;
-    auto since = stray_since_.find(name);
-    if (since == stray_since_.end() || now - since->second < kAdoptAfter) continue;
     adopt(name, report.addr, report.type, report.zone, report.spot);
   }
+  // A list may show what was given back long ago. At the very first start, when
+  // no part has rented anything yet, it can be trusted at once.
+  bool first_start = true;
+  for (const Part& p : parts_) first_start = first_start && p.roster.next_number == 1;
   for (const ListedMachine& m : listed_) {
     if (adopted >= 50) break;
-    if (m.state == ListedMachine::State::kFailed || m.age < kStrayAfter) continue;
+    if (m.state != ListedMachine::State::kRunning && m.age < kStrayAfter) continue;
+    if (m.state == ListedMachine::State::kFailed) continue;
     auto since = stray_since_.find(m.name);
-    if (since == stray_since_.end() || now - since->second < kStrayAfter) continue;
+    bool long_known = since != stray_since_.end() && now - since->second >= kStrayAfter;
+    if (!first_start && !long_known) continue;
     adopt(m.name, m.addr, m.type, m.zone, m.spot);
   }
 }
@@ -241,6 +245,30 @@
   for (const Coming& c : coming) {
     if (c.helps.empty()) (c.spot ? spot_free : steady_free) += c.free.cpus;
   }
+  // Services that spread over zones need a steady machine in two of them.
+  if (spread_seen_ && headroom > 0 && s_.zones.size() > 1) {
+    std::set<std::string> zones;
+    for (const auto& [name, m] : draft->roster.machines) {
+      if (!m.spot && !m.leaving && m.helps.empty()) zones.insert(m.zone);
+    }
+    for (const auto& [id, h] : draft->roster.hires) {
+      if (!h.ask.spot) zones.insert(h.ask.zone);
+    }
+    if (zones.size() == 1) {
+      JobSpec service;
+      service.id = "headroom";
+      service.tasks = 1;
+      service.spread = true;
+      service.each.cpus = kMilli;
+      JobSpread taken;
+      taken.by_zone[*zones.begin()] = 1;
+      Offer offer;
+      if (PickOffer(now, service, taken, false, draft->roster, &offer)) {
+        AddHire(part, draft, offer, false, 1, "");
+        steady_free += offer.type->size.cpus;
+      }
+    }
+  }
   if (headroom > steady_free) {
     JobSpec service;
     service.each.cpus = kMilli;
@@ -252,6 +280,17 @@
   }
 }
 
+// Whether services that spread would miss this machine's zone.
+bool Core::LastOfZone(const Roster& roster, const std::string& machine) const {
+  if (!spread_seen_ || s_.zones.size() < 2) return false;
+  const std::string& zone = roster.machines.at(machine).zone;
+  std::set<std::string> others;
+  for (const auto& [name, m] : roster.machines) {
+    if (name != machine && !m.spot && !m.leaving && m.helps.empty()) others.insert(m.zone);
+  }
+  return others.count(zone) == 0 && others.size() < 2;
+}
+
 void Core::DraftReturns(Micros now, int part, Draft* draft) {
   Part& p = parts_[static_cast<size_t>(part)];
   int64_t steady_free = 0, spot_free = 0;
@@ -296,7 +335,8 @@
           spot_free -= type->size.cpus;
           m.leaving = true;
         }
-      } else if (steady_free - type->size.cpus >=
+      } else if (!LastOfZone(draft->roster, name) &&
+                 steady_free - type->size.cpus >=
                  headroom + std::max<int64_t>(0, spare - spot_free)) {
         steady_free -= type->size.cpus;
         m.leaving = true;
@@ -333,6 +373,7 @@
     if (m.spot || !m.helps.empty() || (!m.usable && !info.drain)) continue;
     int64_t used = m.size.cpus - m.free.cpus;
     if (used <= 0 || (!info.drain && 2 * used > m.size.cpus)) continue;
+    if (!info.drain && LastOfZone(draft->roster, m.name)) continue;
     if (!info.drain && steady_free - m.free.cpus - used < headroom) continue;
     if (info.drain) used = -1;
     if (best == nullptr || used < best_used) {
@@ -536,6 +577,9 @@
       if (old && info.listed && names.count(name) == 0) info.missing = true;
     }
   }
+  std::erase_if(departed_, [&](const auto& d) {
+    return now - d.second > 60 * kSecond && names.count(d.first) == 0;
+  });
   std::erase_if(stray_since_, [&](const auto& s) {
     return names.count(s.first) == 0 && unknown_.count(s.first) == 0;
   });
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -25,6 +25,18 @@
       g.claims.push_back({p, part.rival_claim, part.rival});
     }
   }
+  for (const Part& part : parts_) {
+    if (!part.mine) continue;
+    for (const auto& [name, m] : part.roster.machines) {
+      auto info = machines_.find(name);
+      if (m.spot || info == machines_.end()) continue;
+      mesh::Warm warm{name, {}};
+      for (const auto& [image, used] : info->second.images) {
+        if (service_images_.count(image) != 0) warm.images.push_back(image);
+      }
+      if (!warm.images.empty() && g.warm.size() < 200) g.warm.push_back(std::move(warm));
+    }
+  }
   for (const auto& [when, id] : accepted_cancels_) g.cancels.push_back(id);
   const Part& own = parts_[static_cast<size_t>(s_.own_part)];
   if (synced_ && !own.mine && own.claim_version != 0 && StateFresh(now) &&
@@ -78,6 +90,14 @@
       if (attempt.job == id && !info.gone) StopAttempt(now, attempt, &info, 0);
     }
   }
+  for (const mesh::Warm& w : gossip.warm) {
+    int part = PartOfMachine(w.machine);
+    if (part < 0 || parts_[static_cast<size_t>(part)].mine) continue;
+    // Kept with the machine: who takes it over knows what it has.
+    MachineInfo& info = machines_[w.machine];
+    info.images.clear();
+    for (const std::string& image : w.images) info.images[image] = now;
+  }
   for (uint64_t wanted : gossip.wanted) {
     if (wanted < parts_.size() && s_.labels[wanted] == from) HandBack(now, static_cast<int>(wanted));
   }
@@ -270,7 +290,9 @@
 }
 
 bool Core::Up(Micros now) const {
-  if (!synced_ || types_.empty()) return false;
+  // The machine types follow within moments; waiting for them would cost a whole
+  // round of the balancer's probes.
+  if (!synced_) return false;
   if (StateFresh(now)) return true;
   // A sibling decides for us, or nobody has the state service and there is no
   // better node to go to. Only a node that hears nobody steps aside.
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -61,7 +61,7 @@
     if (service) {
       // Replicas apart, so that one machine's end takes one of them.
       auto same = m.tasks.find(spec.id);
-      if (same != m.tasks.end()) score += 1.5 * same->second;
+      if (same != m.tasks.end()) score += 0.7 * same->second;
     } else if (r.tail) {
       score += m.spot ? 4.0 : 0.0;
       if (m.helps == spec.id) score -= 5.0;
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -882,6 +882,9 @@
     touched.insert(machine);
   }
   counters_.takes += draft.others.empty() ? 0 : 1;
+  for (const auto& [name, m] : p.roster.machines) {
+    if (machines_[name].probe) touched.insert(name);  // has just come
+  }
   for (const std::string& name : touched) Push(now, part, name);
   for (const std::string& id : draft.hires) SendHire(now, part, id);
   SendReturns(now, part);
--- a/src/core/view.cc
+++ b/src/core/view.cc
@@ -130,6 +130,8 @@
       entry.version = version;
       if (entry.record.spec.kind == JobKind::kService) {
         service_teams_.insert(entry.record.spec.team);
+        if (service_images_.size() < 1000) service_images_.insert(entry.record.spec.image);
+        spread_seen_ = spread_seen_ || entry.record.spec.spread;
       }
       int part = entry.record.part;
       bool known_part = part >= 0 && part < s_.parts();
@@ -237,10 +239,12 @@
     auto it = machine_part_.find(name);
     if (it != machine_part_.end() && it->second == part && next.machines.count(name) == 0) {
       machine_part_.erase(it);
+      departed_[name] = now;
     }
   }
   for (const auto& [name, m] : next.machines) {
     machine_part_[name] = part;
+    departed_.erase(name);
     unknown_.erase(name);
     stray_since_.erase(name);
     if (!p.mine) {
--- a/src/mesh/codec.cc
+++ b/src/mesh/codec.cc
@@ -38,6 +38,12 @@
   for (const std::string& c : g.cancels) PutText(out, c);
   PutVarint(out, g.wanted.size());
   for (uint64_t p : g.wanted) PutVarint(out, p);
+  PutVarint(out, g.warm.size());
+  for (const Warm& w : g.warm) {
+    PutText(out, w.machine);
+    PutVarint(out, w.images.size());
+    for (const std::string& image : w.images) PutText(out, image);
+  }
 }
 
 bool GetGossip(std::string_view* in, Gossip* g) {
@@ -62,6 +68,15 @@
   for (uint64_t& p : g->wanted) {
     if (!GetVarint(in, &p)) return false;
   }
+  if (!GetLength(in, &n)) return false;
+  g->warm.resize(n);
+  for (Warm& w : g->warm) {
+    if (!GetText(in, &w.machine) || !GetLength(in, &n)) return false;
+    w.images.resize(n);
+    for (std::string& image : w.images) {
+      if (!GetText(in, &image)) return false;
+    }
+  }
   return true;
 }
 
--- a/src/mesh/codec.h
+++ b/src/mesh/codec.h
@@ -24,6 +24,13 @@
   bool operator==(const PartClaim&) const = default;
 };
 
+// Images of services that a machine of the sender's has.
+struct Warm {
+  std::string machine;
+  std::vector<std::string> images;
+  bool operator==(const Warm&) const = default;
+};
+
 // Sent a few times a second to every sibling; a Pong answers each.
 struct Gossip {
   uint64_t seq = 0;        // of the ping, echoed by the pong
@@ -33,6 +40,7 @@
   std::vector<PartClaim> claims;
   std::vector<std::string> cancels;  // accepted by the sender since its start
   std::vector<uint64_t> wanted;      // parts the sender would like handed back
+  std::vector<Warm> warm;
   bool operator==(const Gossip&) const = default;
 };
 
