--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -207,6 +207,7 @@
          range("overload_s", o.overload_s(), 0, 1e6) &&
          range("consolidate_after_s", o.consolidate_after_s(), 0, 86400) &&
          range("team_headroom_cpus", o.team_headroom_cpus(), 0, 1e6) &&
+         range("image_headroom_cpus", o.image_headroom_cpus(), 0, 1e6) &&
          range("batch", o.batch(), 1, 100000) &&
          range("batch_most", o.batch_most(), o.batch(), 100000);
 }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -201,6 +201,7 @@
     Micros heard = 0;          // last report or answer
     Micros since = 0;          // when we began to care for it
     Micros first_heard = 0;
+    Micros quiet_since = 0;    // a sibling that owned it missed it since then
     bool direct_busy = false;
     int direct_failures = 0;
     Micros no_direct_before = 0;
@@ -287,6 +288,7 @@
   // The last moment at which the rest of a job may start and still be in time.
   Micros LatestStart(const JobRecord& record) const;
   bool LastOfZone(const Roster& roster, const std::string& machine) const;
+  bool LastWarm(const Draft& draft, const std::string& machine) const;
   void Consolidate(Micros now, int part, Draft* draft);
   void DraftMoves(Micros now, int part, Draft* draft);
   uint64_t NextNumber(int part, Draft* draft) const;
@@ -416,6 +418,7 @@
   uint64_t mark_ = 0;
   std::map<std::string, Micros> free_since_;  // others' machines, for taking
   Micros next_judge_ = 0;
+  bool some_silent_ = false;
 
   Budget write_budget_;
   Budget state_budget_;
--- a/src/core/draft.h
+++ b/src/core/draft.h
@@ -26,6 +26,7 @@
   std::set<std::string> jobs;     // whose records must not have changed
   std::vector<std::string> done;  // jobs to be called done
   std::vector<std::string> hires;
+  std::set<std::string> service_images;  // of all services that run
   std::vector<Unmet> unmet;
   std::map<std::string, int> moved;  // jobs that go to another part
   bool urgent = false;
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -291,6 +291,19 @@
   return others.count(zone) == 0 && others.size() < 2;
 }
 
+// Whether without this machine too little room is left where some service's
+// image is.
+bool Core::LastWarm(const Draft& draft, const std::string& machine) const {
+  const auto keep = static_cast<int64_t>(1000 * s_.op.image_headroom_cpus());
+  for (const PlaceMachine& m : draft.machines) {
+    if (m.name != machine) continue;
+    for (const std::string& image : draft.service_images) {
+      if (m.images.count(image) != 0 && WarmFree(draft.machines, image, machine) < keep) return true;
+    }
+  }
+  return false;
+}
+
 void Core::DraftReturns(Micros now, int part, Draft* draft) {
   Part& p = parts_[static_cast<size_t>(part)];
   int64_t steady_free = 0, spot_free = 0;
@@ -335,7 +348,7 @@
           spot_free -= type->size.cpus;
           m.leaving = true;
         }
-      } else if (!LastOfZone(draft->roster, name) &&
+      } else if (!LastOfZone(draft->roster, name) && !LastWarm(*draft, name) &&
                  steady_free - type->size.cpus >=
                  headroom + std::max<int64_t>(0, spare - spot_free)) {
         steady_free -= type->size.cpus;
@@ -373,7 +386,7 @@
     if (m.spot || !m.helps.empty() || (!m.usable && !info.drain)) continue;
     int64_t used = m.size.cpus - m.free.cpus;
     if (used <= 0 || (!info.drain && 2 * used > m.size.cpus)) continue;
-    if (!info.drain && LastOfZone(draft->roster, m.name)) continue;
+    if (!info.drain && (LastOfZone(draft->roster, m.name) || LastWarm(*draft, m.name))) continue;
     if (!info.drain && steady_free - m.free.cpus - used < headroom) continue;
     if (info.drain) used = -1;
     if (best == nullptr || used < best_used) {
@@ -545,7 +558,9 @@
            return;
          }
          list_busy_ = false;
-         next_machines_ = t + std::max<Micros>(2 * kSecond, s_.list_lag / 2 + kSecond);
+         next_machines_ = t + (some_silent_ ? 1500 * kMilli
+                                            : std::max<Micros>(2 * kSecond,
+                                                               s_.list_lag / 2 + kSecond));
          if (!page->more) TakeMachines(t);
        });
 }
@@ -599,6 +614,7 @@
     ++total;
     if (now - std::max(info.heard, info.since) > 3 * s_.report) ++silent_ones;
   }
+  some_silent_ = some_silent_ || silent_ones > 0;
   // When most fall silent at once, it is rather we who cannot hear.
   const bool deaf = total >= 3 && silent_ones * 10 > total * 6;
   for (const auto& [name, m] : p.roster.machines) {
@@ -608,7 +624,8 @@
     Micros silent = now - std::max(info.heard, info.since);
     bool lost = info.failed;
     if (info.missing && silent > 3 * s_.report / 2) lost = true;
-    Micros patience = Longest(s_.lease) + 2 * kSecond;
+    // By then it has ended its tasks itself, so that giving it back ends none.
+    Micros patience = Longest(s_.lease) + 300 * kMilli;
     if (info.first_heard != 0 && silent > patience && !deaf) lost = true;
     if (info.first_heard == 0 && type != nullptr) {
       Micros boot = static_cast<Micros>(s_.op.boot_patience() * static_cast<double>(type->boot));
@@ -656,6 +673,7 @@
 void Core::RunCloud(Micros now) {
   AskTypes(now);
   bool any = false;
+  if (now >= next_judge_) some_silent_ = false;
   for (int part = 0; part < s_.parts(); ++part) {
     Part& p = parts_[static_cast<size_t>(part)];
     if (!p.mine) continue;
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -29,7 +29,12 @@
     if (!part.mine) continue;
     for (const auto& [name, m] : part.roster.machines) {
       auto info = machines_.find(name);
-      if (m.spot || info == machines_.end()) continue;
+      if (info == machines_.end()) continue;
+      if (info->second.first_heard != 0 && now - info->second.heard > 2 * s_.report &&
+          g.quiet.size() < 200) {
+        g.quiet.push_back({name, static_cast<uint64_t>(now - info->second.heard)});
+      }
+      if (m.spot) continue;
       mesh::Warm warm{name, {}};
       for (const auto& [image, used] : info->second.images) {
         if (service_images_.count(image) != 0) warm.images.push_back(image);
@@ -98,6 +103,12 @@
     info.images.clear();
     for (const std::string& image : w.images) info.images[image] = now;
   }
+  for (const mesh::Quiet& q : gossip.quiet) {
+    int part = PartOfMachine(q.machine);
+    if (part < 0 || parts_[static_cast<size_t>(part)].mine) continue;
+    machines_[q.machine].quiet_since =
+        now - static_cast<Micros>(std::min<uint64_t>(q.silent_us, 3600 * kSecond));
+  }
   for (uint64_t wanted : gossip.wanted) {
     if (wanted < parts_.size() && s_.labels[wanted] == from) HandBack(now, static_cast<int>(wanted));
   }
@@ -227,7 +238,9 @@
     // Commands of the owner before us may still run until the worker has seen
     // our token; until then its reports prove no absence.
     info.need_token = std::max(info.need_token, revision);
-    info.since = now;
+    // Not from now, if the owner before us had missed it already.
+    info.since = info.quiet_since > info.heard ? info.quiet_since : now;
+    if (info.quiet_since > info.heard && info.first_heard == 0) info.first_heard = info.quiet_since;
     info.returning = false;
     info.direct_busy = false;
     info.idle_since = 0;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -27,6 +27,16 @@
   return true;
 }
 
+int64_t WarmFree(const std::vector<PlaceMachine>& machines, const std::string& image,
+                 const std::string& except) {
+  int64_t free = 0;
+  for (const PlaceMachine& m : machines) {
+    if (!m.usable || m.spot || m.name == except || !m.helps.empty()) continue;
+    if (m.images.count(image) != 0) free += std::max<int64_t>(0, m.free.cpus);
+  }
+  return free;
+}
+
 int ChooseMachine(const PlaceRequest& r, const std::vector<PlaceMachine>& machines) {
   const JobSpec& spec = *r.spec;
   const bool service = spec.kind == JobKind::kService;
@@ -37,6 +47,7 @@
     steady_free += std::max<int64_t>(0, m.free.cpus);
     if (r.zone_headroom > 0) zone_free[m.zone] += std::max<int64_t>(0, m.free.cpus);
   }
+  std::map<std::string, int64_t> warm_free;
   int best = -1;
   double best_score = 0;
   for (size_t i = 0; i < machines.size(); ++i) {
@@ -50,6 +61,18 @@
          (r.zone_headroom > 0 && zone_free[m.zone] - spec.each.cpus < r.zone_headroom))) {
       continue;
     }
+    if (!service && !m.spot && r.service_images != nullptr && r.image_headroom > 0 && !r.tail &&
+        spec.priority != Priority::kProduction) {
+      // A service starts at once only where its image is: room there is kept.
+      bool keeps = true;
+      for (const std::string& image : *r.service_images) {
+        if (m.images.count(image) == 0) continue;
+        auto [warm, fresh] = warm_free.try_emplace(image, 0);
+        if (fresh) warm->second = WarmFree(machines, image, "");
+        keeps = keeps && warm->second - spec.each.cpus >= r.image_headroom;
+      }
+      if (!keeps) continue;
+    }
     // Seconds until the task can run there: its image, and fetches sharing the link.
     double score = 0;
     auto image = m.images.find(spec.image);
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -3,6 +3,7 @@
 #define TROUTLINK_CORE_PLACEMENT_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
   bool tail = false;              // prefers steady machines, may use headroom
   int64_t steady_headroom = 0;    // cpus to leave free on steady machines
   int64_t zone_headroom = 0;      // the same in each zone, for services that spread
+  // Images of services, and the cpus that stay free where each of them is.
+  const std::set<std::string>* service_images = nullptr;
+  int64_t image_headroom = 0;
   const std::string* avoid = nullptr;  // a machine to keep away from
 };
 
@@ -51,6 +55,10 @@
 // At most this many tasks of a spread job may be in one zone.
 int SpreadLimit(const JobSpec& spec);
 
+// Free cpus on usable steady machines that have the image, `except` left out.
+int64_t WarmFree(const std::vector<PlaceMachine>& machines, const std::string& image,
+                 const std::string& except);
+
 // Index of the best machine, or -1.
 int ChooseMachine(const PlaceRequest& request, const std::vector<PlaceMachine>& machines);
 
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -227,6 +227,12 @@
   draft.roster = p.roster;
   DraftRemovals(now, part, &draft);
   draft.machines = Snapshot(now, part, draft.roster);
+  for (const auto& [id, entry] : jobs_) {
+    const JobSpec& spec = entry.record.spec;
+    if (entry.record.state == JobState::kOpen && spec.kind == JobKind::kService) {
+      draft.service_images.insert(spec.image);
+    }
+  }
   DraftAdoption(now, part, &draft);
   DraftTail(now, part, &draft);
   DraftPlacement(now, part, &draft);
@@ -411,6 +417,9 @@
       request.tail = tail;
       request.steady_headroom = headroom;
       request.zone_headroom = zone_headroom;
+      request.service_images = &draft->service_images;
+      request.image_headroom =
+          headroom > 0 ? static_cast<int64_t>(1000 * s_.op.image_headroom_cpus()) : 0;
       int m = ChooseMachine(request, draft->machines);
       if (m < 0 && DraftTake(now, part, draft, spec)) m = ChooseMachine(request, draft->machines);
       if (m < 0) {
--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -157,6 +157,7 @@
   info.seq = report.seq;
   info.token_seen = std::max(info.token_seen, report.token);
   info.heard = now;
+  info.quiet_since = 0;
   info.probe = false;
   if (info.first_heard == 0) {
     // It has just booted: what failed before then says nothing.
--- a/src/mesh/codec.cc
+++ b/src/mesh/codec.cc
@@ -44,6 +44,11 @@
     PutVarint(out, w.images.size());
     for (const std::string& image : w.images) PutText(out, image);
   }
+  PutVarint(out, g.quiet.size());
+  for (const Quiet& q : g.quiet) {
+    PutText(out, q.machine);
+    PutVarint(out, q.silent_us);
+  }
 }
 
 bool GetGossip(std::string_view* in, Gossip* g) {
@@ -77,6 +82,11 @@
       if (!GetText(in, &image)) return false;
     }
   }
+  if (!GetLength(in, &n)) return false;
+  g->quiet.resize(n);
+  for (Quiet& q : g->quiet) {
+    if (!GetText(in, &q.machine) || !GetVarint(in, &q.silent_us)) return false;
+  }
   return true;
 }
 
--- a/src/mesh/codec.h
+++ b/src/mesh/codec.h
@@ -31,6 +31,14 @@
   bool operator==(const Warm&) const = default;
 };
 
+// A machine of the sender's that has been silent for so long: whoever takes the
+// part over must not count its silence from the takeover.
+struct Quiet {
+  std::string machine;
+  uint64_t silent_us = 0;
+  bool operator==(const Quiet&) const = default;
+};
+
 // Sent a few times a second to every sibling; a Pong answers each.
 struct Gossip {
   uint64_t seq = 0;        // of the ping, echoed by the pong
@@ -41,6 +49,7 @@
   std::vector<std::string> cancels;  // accepted by the sender since its start
   std::vector<uint64_t> wanted;      // parts the sender would like handed back
   std::vector<Warm> warm;
+  std::vector<Quiet> quiet;
   bool operator==(const Gossip&) const = default;
 };
 
