--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -25,6 +25,12 @@
                     settings.state_rps * 0.3),
       cloud_budget_(settings.cloud_rps * kShareOfLimits / settings.parts(),
                     std::max(1.0, settings.cloud_rps * 2 / settings.parts())) {
+  // A late answer to the process before this one must not be taken for an
+  // answer to us: numbers begin where no earlier process is likely to have been.
+  const uint64_t base = (boot_ & 0xffffffffu) << 24;
+  next_foreign_ = (uint64_t{1} << 62) | base;
+  next_relay_ = base;
+  ping_seq_ = base;
   for (const Sibling& sibling : s_.siblings) peers_[sibling.label].label = sibling.label;
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -366,7 +366,7 @@
   };
   std::map<std::string, Peer> peers_;
   Micros now_ = 0;  // of the last tick
-  uint64_t ping_seq_ = 0;
+  uint64_t ping_seq_;
   Micros next_gossip_ = 0;
   std::deque<std::pair<Micros, std::string>> accepted_cancels_;
   std::set<std::string> heard_cancels_;  // from peers, perhaps before the view
@@ -375,7 +375,7 @@
   std::map<uint64_t, OpenRequest> open_;
   std::map<uint64_t, uint64_t> forwards_;  // forward id -> request
   std::map<uint64_t, std::pair<std::string, uint64_t>> foreign_;  // request -> sibling, its id
-  uint64_t next_foreign_ = uint64_t{1} << 62;
+  uint64_t next_foreign_;
   std::deque<Query> queries_;
   bool query_busy_ = false;
   Micros query_not_before_ = 0;
@@ -384,7 +384,7 @@
   std::map<Attempt, AttemptInfo> attempts_;
   std::unordered_map<std::string, MachineInfo> machines_;
   std::map<std::string, Report> unknown_;  // machines in no roster, by last report
-  uint64_t next_relay_ = 1;
+  uint64_t next_relay_;
   std::map<uint64_t, std::pair<uint64_t, Micros>> relays_;  // relay id -> request
   Health health_;
 
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -195,6 +195,9 @@
   for (const PlaceMachine& m : draft->machines) {
     if (m.usable && m.spot) array_cpus += static_cast<double>(m.size.cpus) / 1000;
   }
+  for (const Coming& c : coming) {
+    if (c.spot) array_cpus += static_cast<double>(c.free.cpus) / 1000;
+  }
   for (const Draft::Unmet& u : draft->unmet) {
     const JobSpec& spec = *u.spec;
     ahead += static_cast<double>(u.tasks * spec.each.cpus) / 1000 * ToSeconds(spec.estimate);
@@ -240,6 +243,7 @@
       Amount free = offer.type->size;
       for (int k = 0; k < per && left > 0; ++k, --left) free -= spec.each;
       coming.push_back({offer.type->name, offer.zone, "", spot, free});
+      if (spot) array_cpus += static_cast<double>(offer.type->size.cpus) / 1000;
     }
   }
   for (const Coming& c : coming) {
