--- a/src/core/core.h
+++ b/src/core/core.h
@@ -295,7 +295,7 @@
   void DraftAdoption(Micros now, int part, Draft* draft);
   void DraftReturns(Micros now, int part, Draft* draft);
   void AddHire(int part, Draft* draft, const Offer& offer, bool spot, int count,
-               const std::string& helps);
+               const std::string& helps, const std::string& reason);
 
   // --- fleet (fleet.cc) -------------------------------------------------------------
   void RunCloud(Micros now);
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -72,7 +72,7 @@
 }
 
 void Core::AddHire(int part, Draft* draft, const Offer& offer, bool spot, int count,
-                   const std::string& helps) {
+                   const std::string& helps, const std::string& reason) {
   Hire hire;
   // Unique for ever: the number comes from the roster, in whose commit it is
   // used up before the request is sent.
@@ -84,6 +84,8 @@
   hire.ask.count = std::min(count, kMostPerRental);
   hire.helps = helps;
   draft->hires.push_back(hire.ask.request);
+  Log(LogLine::Level::kDebug, "hire " + std::to_string(hire.ask.count) + " " + hire.ask.type +
+                                  (spot ? " spot" : " steady") + " for " + reason);
   draft->roster.hires[hire.ask.request] = hire;
   draft->urgent = true;
 }
@@ -232,13 +234,23 @@
       // if it waited for its turn on those that are there.
       const JobEntry* job = FindJob(spec.id);
       Micros wait = array_cpus <= 0 ? 3600 * kSecond : FromSeconds(ahead / array_cpus);
-      if (job != nullptr && WallNow(now) + wait < LatestStart(job->record)) continue;
+      Micros latest = job == nullptr ? 0 : LatestStart(job->record);
+      if (WallNow(now) + wait < latest) continue;
+      // And only as many as it takes to be in time, in as many waves as there
+      // is time for. What is late already waits for its turn.
+      const JobRun* run = RunOf(spec.id);
+      Micros time = latest - WallNow(now) - offer.type->boot;
+      Micros each = std::max<Micros>(kSecond, spec.estimate * 5 / 4);
+      int waves = time < 0 ? 3 : static_cast<int>(1 + time / each);
+      int placed = run == nullptr ? 0 : run->placed;
+      left = std::min(left, (u.tasks + placed + waves - 1) / waves - placed);
+      if (left <= 0) continue;
     }
     int per = TasksPer(spec, *offer.type);
     int machines = (left + per - 1) / per;
     if (spec.spread) machines = std::min(machines, SpreadLimit(spec));
     if (draft->hires.size() + draft->roster.hires.size() >= 4) return;
-    AddHire(part, draft, offer, spot, machines, "");
+    AddHire(part, draft, offer, spot, machines, "", spec.id);
     for (int i = 0; i < machines; ++i) {
       Amount free = offer.type->size;
       for (int k = 0; k < per && left > 0; ++k, --left) free -= spec.each;
@@ -268,7 +280,7 @@
       taken.by_zone[*zones.begin()] = 1;
       Offer offer;
       if (PickOffer(now, service, taken, false, draft->roster, &offer)) {
-        AddHire(part, draft, offer, false, 1, "");
+        AddHire(part, draft, offer, false, 1, "", "a second zone");
         steady_free += offer.type->size.cpus;
       }
     }
@@ -279,7 +291,7 @@
     Offer offer;
     if (PickOffer(now, service, JobSpread(), false, draft->roster, &offer)) {
       int64_t n = (headroom - steady_free + offer.type->size.cpus - 1) / offer.type->size.cpus;
-      AddHire(part, draft, offer, false, static_cast<int>(n), "");
+      AddHire(part, draft, offer, false, static_cast<int>(n), "", "headroom");
     }
   }
 }
@@ -389,10 +401,14 @@
     const MachineInfo& info = machines_[m.name];
     if (m.spot || !m.helps.empty() || (!m.usable && !info.drain)) continue;
     int64_t used = m.size.cpus - m.free.cpus;
+    const MachineType* type = TypeOf(m.type);
+    if (type == nullptr) continue;
     if (used <= 0 || (!info.drain && 2 * used > m.size.cpus)) continue;
     if (!info.drain && (LastOfZone(draft->roster, m.name) || LastWarm(*draft, m.name))) continue;
     if (!info.drain && steady_free - m.free.cpus - used < headroom) continue;
-    if (info.drain) used = -1;
+    // What it saves for each cpu that moves.
+    used = info.drain ? -1 : static_cast<int64_t>(static_cast<double>(used) * 100 /
+                                                  std::max(0.01, type->price));
     if (best == nullptr || used < best_used) {
       best = &m;
       best_used = used;
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -675,7 +675,7 @@
       if (candidates > room && PickOffer(now, spec, spread, false, draft->roster, &offer)) {
         int n = TailHelpers(cpus, candidates - room, spec.each.cpus, offer.type->size.cpus);
         if (n > 0) {
-          AddHire(part, draft, offer, false, n, id);
+          AddHire(part, draft, offer, false, n, id, "the tail of " + id);
           counters_.helpers += static_cast<uint64_t>(n);
         }
       }
