--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -263,6 +263,7 @@
   put("redirects_total", c.redirects);
   put("relays_total", c.relays);
   put("forwards_total", c.forwards);
+  put("cared_total", c.cared);
   put("commits_total", c.commits);
   put("commit_conflicts_total", c.commit_conflicts);
   put("commit_unknown_total", c.commit_unknown);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -24,7 +24,7 @@
 
 struct Counters {
   uint64_t submissions = 0, accepted = 0, refused = 0, polls = 0, aborts = 0;
-  uint64_t reports = 0, redirects = 0, relays = 0, forwards = 0;
+  uint64_t reports = 0, redirects = 0, relays = 0, forwards = 0, cared = 0;
   uint64_t commits = 0, commit_conflicts = 0, commit_unknown = 0, puts = 0;
   uint64_t state_calls = 0, cloud_calls = 0, worker_calls = 0, worker_unknown = 0;
   uint64_t starts = 0, stops = 0, gone = 0, takes = 0, share_moves = 0, job_moves = 0, consolidated = 0;
@@ -228,6 +228,9 @@
   };
   void OnReport(Micros now, uint64_t request, const std::string& relay_from, uint64_t relay_id,
                 const std::string& body);
+  // Whether to keep the leases of a part's workers alive for an owner that ended
+  // while nobody can reach the state service to take its place.
+  bool MayCare(Micros now, int part, const Report& report) const;
   void AnswerReport(uint64_t request, const std::string& relay_from, uint64_t relay_id, int status,
                     std::string body);
   bool TakeReport(Micros now, int part, const RosterMachine& machine, const Report& report,
@@ -363,6 +366,7 @@
     Micros reset_at = 0;      // it restarted then, and may have forgotten some
     Micros state_age = 0;     // at `heard`
     std::map<uint64_t, Micros> pings;  // in flight
+    std::set<uint64_t> holds;          // parts that it says are its own
   };
   std::map<std::string, Peer> peers_;
   Micros now_ = 0;  // of the last tick
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -74,7 +74,9 @@
   peer.heard = now;
   peer.state_age = static_cast<Micros>(
       std::min<uint64_t>(gossip.state_age_us, static_cast<uint64_t>(1) << 60));
+  peer.holds.clear();
   for (const mesh::PartClaim& c : gossip.claims) {
+    if (c.owner == from) peer.holds.insert(c.part);
     if (c.part >= parts_.size() || c.owner == s_.label) continue;
     Part& p = parts_[c.part];
     if (c.revision > p.rival_claim) {
--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -62,6 +62,21 @@
   }
   Part& p = parts_[static_cast<size_t>(part)];
   bool superseded = p.rival_claim > p.my_claim;
+  if (in_roster && (superseded || p.my_claim == 0) && MayCare(now, part, *report)) {
+    // The token is the worker's own: an equal one is accepted from any node, and
+    // whoever claims the part later has a higher one. Nothing is started; what
+    // was cancelled ends.
+    ++counters_.cared;
+    std::vector<Command> orders;
+    for (const TaskReport& t : report->tasks) {
+      if (t.state != TaskState::kExited && JobOver(t.job)) {
+        orders.push_back({Command::Op::kStop, t.job, t.task, t.attempt, 0});
+      }
+    }
+    AnswerReport(request, relay_from, relay_id, 200,
+                 wire::EncodeReportReply(report->token, orders));
+    return;
+  }
   if (!in_roster || superseded || p.my_claim == 0) {
     std::string owner = OwnerLabel(part);
     if (owner == s_.label) owner.clear();
@@ -123,6 +138,26 @@
   AnswerReport(request, relay_from, relay_id, 200, wire::EncodeReportReply(token, orders));
 }
 
+bool Core::MayCare(Micros now, int part, const Report& report) const {
+  const Part& p = parts_[static_cast<size_t>(part)];
+  if (StateFresh(now) || !MayRenew(now)) return false;
+  uint64_t claim = std::max(p.claim_version, p.rival_claim);
+  if (claim == 0 || report.token < claim) return false;
+  std::string owner = OwnerLabel(part);
+  if (owner.empty() || owner == s_.label) return false;
+  auto peer = peers_.find(owner);
+  if (peer == peers_.end()) return false;
+  // An owner that lives and knows that it is one answers for itself.
+  bool gone = now - peer->second.heard > 1500 * kMilli ||
+              peer->second.holds.count(static_cast<uint64_t>(part)) == 0;
+  if (!gone) return false;
+  // Nor may a sibling that reaches the state service be about to take over.
+  for (const auto& [label, other] : peers_) {
+    if (now - other.heard < 1500 * kMilli && other.state_age < kSecond) return false;
+  }
+  return true;
+}
+
 void Core::TouchImage(MachineInfo* info, const std::string& type_name, const std::string& image,
                       double gb, Micros now) {
   info->images[image] = now;
--- a/tests/stories_test.cc
+++ b/tests/stories_test.cc
@@ -168,6 +168,33 @@
   EXPECT_KEPT(w);
 }
 
+TEST(Stories, SiblingsCareForAnOwnerThatEndsDuringAStateOutage) {
+  World w;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 4)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 4; }, 30 * kSecond));
+  w.Run(5 * kSecond);
+  w.state_down = true;
+  w.Run(3 * kSecond);
+  for (size_t i = 0; i < 2; ++i) w.Kill(i);
+  w.Run(3 * kSecond);
+  for (size_t i = 0; i < 2; ++i) w.Start(i);
+  w.Run(9 * kSecond);  // past the workers' lease
+  EXPECT_EQ(w.OnMachines("job-5"), 4);
+  w.state_down = false;
+  w.state.Refresh(w.now);
+  w.Run(5 * kSecond);
+  EXPECT_EQ(w.OnMachines("job-5"), 4);
+  // But not for ever: a cancel that a node accepted just before its end is known
+  // to nobody, and must not be overrun.
+  w.state_down = true;
+  w.Run(kSecond);
+  for (size_t i = 0; i < 2; ++i) w.Kill(i);
+  w.Run(w.settings.cancel);
+  EXPECT_EQ(w.OnMachines("job-5"), 0);
+  EXPECT_KEPT(w);
+}
+
 TEST(Stories, ACutNodeHearsOfACancelFromItsSiblings) {
   World w;
   w.Run(kReady);
