--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -68,8 +68,7 @@
     }
     // Only work that comes first counts against a critical job.
     if (waiting > 0 && r.spec.priority >= spec.priority) {
-      rooms[static_cast<size_t>(r.part)].waiting +=
-          static_cast<double>(waiting * r.spec.each.cpus);
+      rooms[static_cast<size_t>(r.part)].waiting += static_cast<double>(waiting * r.spec.each.cpus);
     }
   }
   for (size_t p = 0; p < parts_.size(); ++p) {
@@ -84,8 +83,7 @@
       for (const Attempt& a : m.attempts) {
         if (const JobEntry* job = FindJob(a.job)) {
           // What it may push aside is room for a critical job.
-          if (spec.priority == Priority::kProduction &&
-              job->record.spec.priority < spec.priority) {
+          if (spec.priority == Priority::kProduction && job->record.spec.priority < spec.priority) {
             continue;
           }
           left -= job->record.spec.each;
@@ -99,16 +97,15 @@
       probe.zone = m.zone;
       probe.spot = m.spot;
       auto info = machines_.find(name);
-      has_image = has_image || (info != machines_.end() &&
-                                info->second.images.count(spec.image) != 0);
+      has_image =
+          has_image || (info != machines_.end() && info->second.images.count(spec.image) != 0);
       for (Amount rest = left; has_image && room.warm < spec.tasks && spec.each.Fits(rest) &&
                                spec.each.cpus > 0 && Allowed(spec, warm_spread, probe);) {
         rest -= spec.each;
         ++warm_spread.by_zone[m.zone];
         ++room.warm;
       }
-      while (room.placeable < spec.tasks && spec.each.Fits(left) &&
-             Allowed(spec, spread, probe)) {
+      while (room.placeable < spec.tasks && spec.each.Fits(left) && Allowed(spec, spread, probe)) {
         left -= spec.each;
         ++spread.by_zone[m.zone];
         ++room.placeable;
@@ -117,9 +114,9 @@
     }
     room.now_free = room.free - room.waiting;
     if (spec.each.cpus > 0) {
-      room.placeable = static_cast<int>(
-          std::clamp(room.now_free / static_cast<double>(spec.each.cpus), 0.0,
-                     static_cast<double>(room.placeable)));
+      room.placeable =
+          static_cast<int>(std::clamp(room.now_free / static_cast<double>(spec.each.cpus), 0.0,
+                                      static_cast<double>(room.placeable)));
     }
     auto peer = peers_.find(parts_[p].claim.owner);
     room.owned = parts_[p].claim_version != 0 &&
@@ -164,8 +161,8 @@
   open->forward = next_foreign_++;
   open->forwarded_at = now;
   forwards_[open->forward] = open->request.id;
-  out_.peers.push_back({to, mesh::Forward{open->forward, open->request.method,
-                                          open->request.target, open->request.body}});
+  out_.peers.push_back({to, mesh::Forward{open->forward, open->request.method, open->request.target,
+                                          open->request.body}});
   return true;
 }
 
@@ -245,7 +242,8 @@
   txn.writes.push_back({JobKey(query.id), EncodeJob(record), 0, false});
   ++counters_.puts;
   Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kCommitTimeout,
-       [this, query, write = txn.writes[0], job_class = record.spec.job_class](Micros t, int status, const std::string& body) {
+       [this, query, write = txn.writes[0], job_class = record.spec.job_class](
+           Micros t, int status, const std::string& body) {
          std::optional<wire::TxnReply> reply;
          if (status == 200 || status == 409) reply = wire::DecodeTxnReply(body);
          if (reply) state_ok_ = t;
@@ -382,12 +380,9 @@
       Answer(query.request, 200, wire::EncodeJobStatus(StatusOf(query.id, *entry)));
       return;
     case Query::Kind::kSubmit:
-      Answer(query.request, 200,
-             wire::EncodeJobState(query.id, StatusOf(query.id, *entry).state));
-      return;
-    case Query::Kind::kAbort:
-      Abort(now, query);
+      Answer(query.request, 200, wire::EncodeJobState(query.id, StatusOf(query.id, *entry).state));
       return;
+    case Query::Kind::kAbort: Abort(now, query); return;
   }
 }
 
@@ -398,8 +393,7 @@
     return;
   }
   if (entry->record.state != JobState::kOpen) {
-    Answer(query.request, 200,
-           wire::EncodeJobState(query.id, StateName(entry->record.state)));
+    Answer(query.request, 200, wire::EncodeJobState(query.id, StateName(entry->record.state)));
     return;
   }
   if (++query.tries > 4 || !StateFresh(now)) {
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -38,8 +38,8 @@
                     std::string body, Micros timeout, Handler handler) {
   uint64_t id = next_call_++;
   pending_[id] = std::move(handler);
-  out_.calls.push_back({id, dest, std::move(addr), std::move(method), std::move(target),
-                        std::move(body), timeout});
+  out_.calls.push_back(
+      {id, dest, std::move(addr), std::move(method), std::move(target), std::move(body), timeout});
   switch (dest) {
     case Dest::kState:
     case Dest::kWatch: ++counters_.state_calls; break;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -27,7 +27,8 @@
   uint64_t reports = 0, redirects = 0, relays = 0, forwards = 0, cared = 0;
   uint64_t commits = 0, commit_conflicts = 0, commit_unknown = 0, puts = 0;
   uint64_t state_calls = 0, cloud_calls = 0, worker_calls = 0, worker_unknown = 0;
-  uint64_t starts = 0, stops = 0, gone = 0, takes = 0, share_moves = 0, job_moves = 0, consolidated = 0;
+  uint64_t starts = 0, stops = 0, gone = 0, takes = 0, share_moves = 0, job_moves = 0,
+           consolidated = 0;
   uint64_t hired = 0, refused_hires = 0, returned = 0, adopted = 0;
   uint64_t claims = 0, lost_claims = 0, handed_back = 0;
   uint64_t tails = 0, helpers = 0, overdue = 0, preempted = 0, fences = 0;
@@ -70,8 +71,8 @@
     Progress progress;
     // Ownership.
     bool mine = false;
-    uint64_t my_claim = 0;      // kept after a loss, to go on answering reports
-    uint64_t rival_claim = 0;   // highest claim of another node that we know of
+    uint64_t my_claim = 0;     // kept after a loss, to go on answering reports
+    uint64_t rival_claim = 0;  // highest claim of another node that we know of
     std::string rival;
     Micros absent_since = 0;
     Micros claimed_at = 0;
@@ -80,22 +81,22 @@
     bool releasing = false;
     // Rounds.
     bool committing = false;
-    bool dirty = false;         // something to decide
-    bool cleanup = false;       // only removals: may wait
-    bool fence = false;         // a commit is needed for its revision
+    bool dirty = false;    // something to decide
+    bool cleanup = false;  // only removals: may wait
+    bool fence = false;    // a commit is needed for its revision
     Micros last_commit = 0;
     Micros committed_at = 0;
     Micros not_before = 0;
     Micros cleanup_at = 0;
     int conflicts = 0;
-    Micros take_after = 0;      // other parts are left alone until then
-    Micros calm_since = 0;      // nothing has waited since
+    Micros take_after = 0;  // other parts are left alone until then
+    Micros calm_since = 0;  // nothing has waited since
     Micros consolidate_at = 0;
-    Micros changed_at = 0;      // last change of the roster
+    Micros changed_at = 0;  // last change of the roster
     Micros progress_at = 0;
     bool progress_dirty = false;
     uint32_t batch = 0;
-    double array_peak = 0;      // recent peak of cpus that arrays wanted
+    double array_peak = 0;  // recent peak of cpus that arrays wanted
     Micros peak_at = 0;
   };
 
@@ -140,10 +141,10 @@
   struct OpenRequest {
     Request request;
     Micros since = 0;
-    uint64_t forward = 0;    // its id at the sibling; 0: not forwarded
+    uint64_t forward = 0;  // its id at the sibling; 0: not forwarded
     Micros forwarded_at = 0;
     bool tried = false;
-    bool refused = false;    // our own answer, kept while the sibling works
+    bool refused = false;  // our own answer, kept while the sibling works
     Reply refusal;
   };
   void Route(Micros now, const Request& request);
@@ -159,12 +160,12 @@
   void FetchJob(Micros now, const std::string& id);
   JobStatus StatusOf(const std::string& id, const JobEntry& entry) const;
   struct Room {
-    double free = 0;       // cpus
-    double waiting = 0;    // cpus that wait there and come first
+    double free = 0;     // cpus
+    double waiting = 0;  // cpus that wait there and come first
     double now_free = 0;
-    int placeable = 0;     // tasks that could start now
-    int warm = 0;          // the same where its image is
-    bool owned = false;    // by a node that lives
+    int placeable = 0;   // tasks that could start now
+    int warm = 0;        // the same where its image is
+    bool owned = false;  // by a node that lives
   };
   std::vector<Room> RoomsFor(const JobSpec& spec) const;
   int PartForJob(const JobSpec& spec) const;
@@ -175,14 +176,14 @@
   struct AttemptInfo {
     std::string machine;
     int part = 0;
-    uint64_t mark = 0;     // of the last time that the roster had it
-    bool fresh = false;    // decided by this process: its start is ours to send
-    bool seen = false;     // a report had it
-    bool gone = false;     // proven gone; leaves the roster at the next commit
-    bool direct = false;   // its start is in a direct command without an answer yet
-    bool moved = false;    // is being moved for the tail
+    uint64_t mark = 0;    // of the last time that the roster had it
+    bool fresh = false;   // decided by this process: its start is ours to send
+    bool seen = false;    // a report had it
+    bool gone = false;    // proven gone; leaves the roster at the next commit
+    bool direct = false;  // its start is in a direct command without an answer yet
+    bool moved = false;   // is being moved for the tail
     bool stopping = false;
-    Micros stop_at = 0;    // when the stop was decided
+    Micros stop_at = 0;  // when the stop was decided
     Micros grace = 0;
     bool stop_sent = false;
     TaskState state = TaskState::kFetching;
@@ -196,19 +197,19 @@
     uint64_t session = 0;
     uint64_t seq = 0;
     uint64_t token_seen = 0;
-    uint64_t fence = 0;        // our token for it, where higher than the claim
-    uint64_t need_token = 0;   // absences prove nothing until the worker saw this
-    Micros heard = 0;          // last report or answer
-    Micros since = 0;          // when we began to care for it
+    uint64_t fence = 0;       // our token for it, where higher than the claim
+    uint64_t need_token = 0;  // absences prove nothing until the worker saw this
+    Micros heard = 0;         // last report or answer
+    Micros since = 0;         // when we began to care for it
     Micros first_heard = 0;
-    Micros quiet_since = 0;    // a sibling that owned it missed it since then
+    Micros quiet_since = 0;  // a sibling that owned it missed it since then
     bool direct_busy = false;
     int direct_failures = 0;
     Micros no_direct_before = 0;
-    bool probe = false;        // ask for its state, we know no session yet
-    Micros notice_end = 0;     // the cloud takes it away then; 0: no notice
-    bool failed = false;       // the cloud says so
-    bool missing = false;      // was listed, is no longer
+    bool probe = false;     // ask for its state, we know no session yet
+    Micros notice_end = 0;  // the cloud takes it away then; 0: no notice
+    bool failed = false;    // the cloud says so
+    bool missing = false;   // was listed, is no longer
     bool listed = false;
     bool listed_running = false;
     bool returning = false;
@@ -258,7 +259,7 @@
     std::vector<int> placed_list;
     int hint = 0;  // no waiting task before this one
     std::vector<Micros> durations;
-    std::set<int> moved;  // tasks that were moved to steady machines once
+    std::set<int> moved;     // tasks that were moved to steady machines once
     Micros unmet_since = 0;  // waits without a machine since then
   };
   enum : uint8_t { kWaiting = 0, kPlaced = 1, kDone = 2 };
@@ -361,10 +362,10 @@
   struct Peer {
     std::string label;
     uint64_t boot = 0;
-    Micros heard = 0;         // last message
-    Micros known = 0;         // its accepted cancels are known up to here
-    Micros reset_at = 0;      // it restarted then, and may have forgotten some
-    Micros state_age = 0;     // at `heard`
+    Micros heard = 0;                  // last message
+    Micros known = 0;                  // its accepted cancels are known up to here
+    Micros reset_at = 0;               // it restarted then, and may have forgotten some
+    Micros state_age = 0;              // at `heard`
     std::map<uint64_t, Micros> pings;  // in flight
     std::set<uint64_t> holds;          // parts that it says are its own
   };
@@ -377,7 +378,7 @@
 
   // Acceptance.
   std::map<uint64_t, OpenRequest> open_;
-  std::map<uint64_t, uint64_t> forwards_;  // forward id -> request
+  std::map<uint64_t, uint64_t> forwards_;                         // forward id -> request
   std::map<uint64_t, std::pair<std::string, uint64_t>> foreign_;  // request -> sibling, its id
   uint64_t next_foreign_;
   std::deque<Query> queries_;
--- a/src/core/draft.h
+++ b/src/core/draft.h
@@ -18,20 +18,20 @@
     bool tail = false;
   };
 
-  Roster roster;                  // the part's own, as it is to become
-  std::map<int, Roster> others;   // those of other parts that change with it
+  Roster roster;                 // the part's own, as it is to become
+  std::map<int, Roster> others;  // those of other parts that change with it
   std::vector<PlaceMachine> machines;
   std::map<std::string, JobSpread> spreads;
   std::vector<std::pair<std::string, Attempt>> started;  // by machine
-  std::set<std::string> jobs;     // whose records must not have changed
-  std::vector<std::string> done;  // jobs to be called done
+  std::set<std::string> jobs;                            // whose records must not have changed
+  std::vector<std::string> done;                         // jobs to be called done
   std::vector<std::string> hires;
   std::set<std::string> service_images;  // of all services that run
   std::vector<Unmet> unmet;
   std::map<std::string, int> moved;  // jobs that go to another part
   bool urgent = false;
-  bool critical = false;          // starts work of the highest priority
-  bool all_rosters = false;       // conditional on every roster (adoption)
+  bool critical = false;     // starts work of the highest priority
+  bool all_rosters = false;  // conditional on every roster (adoption)
   bool progress = false;
   bool fence = false;
 
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -76,8 +76,8 @@
   Hire hire;
   // Unique for ever: the number comes from the roster, in whose commit it is
   // used up before the request is sent.
-  hire.ask.request = "troutlink-" + std::to_string(part) + "-" +
-                     std::to_string(NextNumber(part, draft));
+  hire.ask.request =
+      "troutlink-" + std::to_string(part) + "-" + std::to_string(NextNumber(part, draft));
   hire.ask.type = offer.type->name;
   hire.ask.zone = offer.zone;
   hire.ask.spot = spot;
@@ -207,8 +207,8 @@
     double share = spec.kind == JobKind::kService ? 1.0 : s_.op.rent_share();
     int left = static_cast<int>(std::ceil(u.tasks * share));
     // Beyond its team's limit a job has no use for machines.
-    if (const Team* team = FindTeam(spec.team); team != nullptr && team->cpus_max > 0 &&
-                                                spec.each.cpus > 0) {
+    if (const Team* team = FindTeam(spec.team);
+        team != nullptr && team->cpus_max > 0 && spec.each.cpus > 0) {
       left = std::min<int>(left, static_cast<int>(team->cpus_max / spec.each.cpus));
     }
     for (Coming& c : coming) {
@@ -314,7 +314,8 @@
   for (const PlaceMachine& m : draft.machines) {
     if (m.name != machine) continue;
     for (const std::string& image : draft.service_images) {
-      if (m.images.count(image) != 0 && WarmFree(draft.machines, image, machine) < keep) return true;
+      if (m.images.count(image) != 0 && WarmFree(draft.machines, image, machine) < keep)
+        return true;
     }
   }
   return false;
@@ -338,7 +339,6 @@
     if (info.give_up) {
       m.leaving = true;
       draft->urgent = true;
-      Log(LogLine::Level::kInfo, "giving up " + name);
       continue;
     }
     if (!m.attempts.empty() || info.idle_since == 0) continue;
@@ -366,7 +366,7 @@
         }
       } else if (!LastOfZone(draft->roster, name) && !LastWarm(*draft, name) &&
                  steady_free - type->size.cpus >=
-                 headroom + std::max<int64_t>(0, spare - spot_free)) {
+                     headroom + std::max<int64_t>(0, spare - spot_free)) {
         steady_free -= type->size.cpus;
         m.leaving = true;
       }
@@ -387,7 +387,8 @@
     return;
   }
   if (p.calm_since == 0) p.calm_since = now;
-  if (now < p.consolidate_at || now - p.calm_since < FromSeconds(s_.op.consolidate_after_s())) return;
+  if (now < p.consolidate_at || now - p.calm_since < FromSeconds(s_.op.consolidate_after_s()))
+    return;
   p.consolidate_at = now + 500 * kMilli;
   int64_t steady_free = 0;
   for (const PlaceMachine& m : draft->machines) {
@@ -407,8 +408,10 @@
     if (!info.drain && (LastOfZone(draft->roster, m.name) || LastWarm(*draft, m.name))) continue;
     if (!info.drain && steady_free - m.free.cpus - used < headroom) continue;
     // What it saves for each cpu that moves.
-    used = info.drain ? -1 : static_cast<int64_t>(static_cast<double>(used) * 100 /
-                                                  std::max(0.01, type->price));
+    used =
+        info.drain
+            ? -1
+            : static_cast<int64_t>(static_cast<double>(used) * 100 / std::max(0.01, type->price));
     if (best == nullptr || used < best_used) {
       best = &m;
       best_used = used;
@@ -502,7 +505,8 @@
   std::vector<std::string> names;
   for (const auto& [name, m] : p.roster.machines) {
     MachineInfo& info = machines_[name];
-    if (!m.leaving || info.returning || returned_.count(name) != 0 || now < info.return_at) continue;
+    if (!m.leaving || info.returning || returned_.count(name) != 0 || now < info.return_at)
+      continue;
     names.push_back(name);
     if (names.size() >= 100) break;
   }
@@ -578,9 +582,9 @@
            return;
          }
          list_busy_ = false;
-         next_machines_ = t + (some_silent_ ? 1500 * kMilli
-                                            : std::max<Micros>(2 * kSecond,
-                                                               s_.list_lag / 2 + kSecond));
+         next_machines_ =
+             t + (some_silent_ ? 1500 * kMilli
+                               : std::max<Micros>(2 * kSecond, s_.list_lag / 2 + kSecond));
          if (!page->more) TakeMachines(t);
        });
 }
@@ -656,6 +660,10 @@
     }
     if (lost && !info.give_up && !m.leaving) {
       info.give_up = true;
+      Log(LogLine::Level::kInfo, "giving up " + name +
+                                     (info.failed    ? ": failed"
+                                      : info.missing ? ": no longer listed"
+                                                     : ": silent"));
       Touch(part);
     }
     bool busy = false;
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -15,8 +15,8 @@
   mesh::Gossip g;
   g.boot = boot_;
   g.uptime_us = static_cast<uint64_t>(now - started_);
-  g.state_age_us = static_cast<uint64_t>(state_ok_ == 0 ? now - started_ + 3600 * kSecond
-                                                        : now - state_ok_);
+  g.state_age_us =
+      static_cast<uint64_t>(state_ok_ == 0 ? now - started_ + 3600 * kSecond : now - state_ok_);
   for (size_t p = 0; p < parts_.size(); ++p) {
     const Part& part = parts_[p];
     if (part.mine) {
@@ -72,8 +72,8 @@
     peer.reset_at = now;
   }
   peer.heard = now;
-  peer.state_age = static_cast<Micros>(
-      std::min<uint64_t>(gossip.state_age_us, static_cast<uint64_t>(1) << 60));
+  peer.state_age =
+      static_cast<Micros>(std::min<uint64_t>(gossip.state_age_us, static_cast<uint64_t>(1) << 60));
   peer.holds.clear();
   for (const mesh::PartClaim& c : gossip.claims) {
     if (c.owner == from) peer.holds.insert(c.part);
@@ -112,7 +112,8 @@
         now - static_cast<Micros>(std::min<uint64_t>(q.silent_us, 3600 * kSecond));
   }
   for (uint64_t wanted : gossip.wanted) {
-    if (wanted < parts_.size() && s_.labels[wanted] == from) HandBack(now, static_cast<int>(wanted));
+    if (wanted < parts_.size() && s_.labels[wanted] == from)
+      HandBack(now, static_cast<int>(wanted));
   }
 }
 
@@ -197,7 +198,8 @@
     txn.conditions.emplace_back(RosterKey(part, 0), 0);
     txn.writes.push_back({RosterKey(part, 0), EncodeChunk(Roster(), 0), 0, false});
   }
-  for (const auto& [i, chunk] : p.chunks) txn.conditions.emplace_back(RosterKey(part, i), chunk.version);
+  for (const auto& [i, chunk] : p.chunks)
+    txn.conditions.emplace_back(RosterKey(part, i), chunk.version);
   txn.writes.push_back({ClaimKey(part), EncodeClaim({s_.label, boot_}), lease_, false});
   counters_.puts += txn.writes.size();
   Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kStateTimeout,
@@ -226,8 +228,8 @@
   p.releasing = false;
   p.committing = false;
   p.progress_at = now + FromSeconds(s_.op.progress_period_s());
-  Log(LogLine::Level::kInfo, "claimed part " + std::to_string(part) + " at revision " +
-                                 std::to_string(revision));
+  Log(LogLine::Level::kInfo,
+      "claimed part " + std::to_string(part) + " at revision " + std::to_string(revision));
   // Whatever we knew of its attempts may be of an earlier ownership.
   for (auto it = attempts_.begin(); it != attempts_.end();) {
     it = it->second.part == part ? attempts_.erase(it) : std::next(it);
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -17,7 +17,7 @@
   std::string type;
   std::string zone;
   bool spot = false;
-  bool usable = false;    // heard from lately, not leaving, not set aside
+  bool usable = false;  // heard from lately, not leaving, not set aside
   std::string helps;
   Amount size;
   Amount free;
@@ -38,9 +38,9 @@
 struct PlaceRequest {
   const JobSpec* spec = nullptr;
   const JobSpread* spread = nullptr;
-  bool tail = false;              // prefers steady machines, may use headroom
-  int64_t steady_headroom = 0;    // cpus to leave free on steady machines
-  int64_t zone_headroom = 0;      // the same in each zone, for services that spread
+  bool tail = false;            // prefers steady machines, may use headroom
+  int64_t steady_headroom = 0;  // cpus to leave free on steady machines
+  int64_t zone_headroom = 0;    // the same in each zone, for services that spread
   // Images of services, and the cpus that stay free where each of them is.
   const std::set<std::string>* service_images = nullptr;
   int64_t image_headroom = 0;
--- a/src/core/records.cc
+++ b/src/core/records.cc
@@ -19,9 +19,7 @@
 
 }  // namespace
 
-std::string JobKey(std::string_view id) {
-  return std::string(kRoot).append("job/").append(id);
-}
+std::string JobKey(std::string_view id) { return std::string(kRoot).append("job/").append(id); }
 std::string ClaimKey(int part) { return std::string(kRoot) + "claim/" + std::to_string(part); }
 std::string RosterKey(int part, int chunk) {
   return std::string(kRoot) + "roster/" + std::to_string(part) + "/" + std::to_string(chunk);
@@ -109,9 +107,9 @@
     }
     Json attempts = Json::array();
     for (auto& [job, list] : by_job) attempts.push_back(std::move(list));
-    machines.push_back(Json::array({name, m.addr, m.type, m.zone,
-                                    (m.spot ? 1 : 0) + (m.leaving ? 2 : 0), m.helps,
-                                    std::move(attempts)}));
+    machines.push_back(
+        Json::array({name, m.addr, m.type, m.zone, (m.spot ? 1 : 0) + (m.leaving ? 2 : 0), m.helps,
+                     std::move(attempts)}));
   }
   Json out = {{"m", std::move(machines)}};
   if (chunk == 0) {
@@ -119,8 +117,7 @@
     out["next"] = roster.next_number;
     Json hires = Json::array(), shares = Json::object(), helps = Json::object();
     for (const auto& [id, h] : roster.hires) {
-      hires.push_back(
-          Json::array({id, h.ask.type, h.ask.zone, h.ask.spot, h.ask.count, h.helps}));
+      hires.push_back(Json::array({id, h.ask.type, h.ask.zone, h.ask.spot, h.ask.count, h.helps}));
     }
     for (const auto& [team, s] : roster.shares) shares[team] = Json::array({s.cpus, s.gpus});
     for (const auto& [job, h] : roster.helps) helps[job] = h.credit;
@@ -178,7 +175,8 @@
 
 int64_t StoredSize(std::string_view value) {
   std::optional<Json> doc = wire::Unpack(value);
-  return doc ? static_cast<int64_t>(doc->dump(-1, ' ', false, Json::error_handler_t::replace).size())
+  return doc ? static_cast<int64_t>(
+                   doc->dump(-1, ' ', false, Json::error_handler_t::replace).size())
              : 0;
 }
 
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -60,8 +60,8 @@
   std::string type;
   std::string zone;
   bool spot = false;
-  bool leaving = false;   // is being given back: takes no work, cannot be taken
-  std::string helps;      // the job whose tail it was rented for
+  bool leaving = false;  // is being given back: takes no work, cannot be taken
+  std::string helps;     // the job whose tail it was rented for
   std::vector<Attempt> attempts;
   bool operator==(const RosterMachine&) const = default;
 };
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -180,9 +180,9 @@
     }
   }
   if (services == 0) return 0;
-  return std::max(static_cast<int64_t>(1000 * s_.op.service_headroom_cpus()),
-                  static_cast<int64_t>(s_.op.service_headroom_share() *
-                                       static_cast<double>(services)));
+  return std::max(
+      static_cast<int64_t>(1000 * s_.op.service_headroom_cpus()),
+      static_cast<int64_t>(s_.op.service_headroom_share() * static_cast<double>(services)));
 }
 
 bool Core::SpreadServices(int part) const {
@@ -436,9 +436,9 @@
       used.cpus += spec.each.cpus;
       used.gpus += spec.each.gpus;
       // The tasks of a gang find each other by a common attempt.
-      Attempt a{spec.id, static_cast<int>(i),
-                gang && left < w.tasks ? draft->started.back().second.number
-                                       : NextNumber(part, draft)};
+      Attempt a{
+          spec.id, static_cast<int>(i),
+          gang && left < w.tasks ? draft->started.back().second.number : NextNumber(part, draft)};
       draft->roster.machines[machine.name].attempts.push_back(a);
       draft->started.emplace_back(machine.name, a);
       draft->jobs.insert(spec.id);
@@ -520,7 +520,8 @@
       if (spec.each.Fits(room)) break;
       auto at = attempts_.find(a);
       const JobEntry* job = FindJob(a.job);
-      if (at == attempts_.end() || job == nullptr || at->second.stopping || !at->second.seen) continue;
+      if (at == attempts_.end() || job == nullptr || at->second.stopping || !at->second.seen)
+        continue;
       if (job->record.spec.priority >= spec.priority) continue;
       room += job->record.spec.each;
       cost += at->second.running_at == 0 ? 0 : now - at->second.running_at;
@@ -556,8 +557,7 @@
     if (now - other.changed_at < 60 * kMilli && spec.priority != Priority::kProduction) continue;
     // One other part in a commit, or it outgrows the transaction.
     if (!draft->others.empty() && draft->others.count(q) == 0) continue;
-    const Roster& theirs =
-        draft->others.count(q) != 0 ? draft->others.at(q) : other.roster;
+    const Roster& theirs = draft->others.count(q) != 0 ? draft->others.at(q) : other.roster;
     int64_t steady_free = 0;
     for (const auto& [name, m] : theirs.machines) {
       const MachineType* type = TypeOf(m.type);
@@ -577,13 +577,15 @@
       }
       // Leave the other part something for its own critical starts.
       if (!m.spot && spec.priority != Priority::kProduction &&
-          steady_free - type->size.cpus < static_cast<int64_t>(1000 * s_.op.service_headroom_cpus())) {
+          steady_free - type->size.cpus <
+              static_cast<int64_t>(1000 * s_.op.service_headroom_cpus())) {
         continue;
       }
       RosterMachine taken = m;
       PlaceMachine machine = SnapshotMachine(now, part, taken);
       machine.usable = true;
-      if (!spec.each.Fits(machine.free) || !Allowed(spec, draft->SpreadOf(spec.id), machine)) continue;
+      if (!spec.each.Fits(machine.free) || !Allowed(spec, draft->SpreadOf(spec.id), machine))
+        continue;
       Roster& changed = draft->others.try_emplace(q, other.roster).first->second;
       changed.machines.erase(taken.name);
       draft->machines.push_back(machine);
@@ -727,8 +729,8 @@
     bool any = false;
     for (int i = 0; i < roster->chunks; ++i) {
       auto old = owner.chunks.find(i);
-      bool same = old != owner.chunks.end() && old->second.value == values[static_cast<size_t>(i)] &&
-                  roster->chunks == chunks;
+      bool same = old != owner.chunks.end() &&
+                  old->second.value == values[static_cast<size_t>(i)] && roster->chunks == chunks;
       if (same && !(force && i == 0)) continue;
       txn.writes.push_back({RosterKey(q, i), std::move(values[static_cast<size_t>(i)]), 0, false});
       any = true;
@@ -829,7 +831,7 @@
   p.fence = false;
   Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kCommitTimeout,
        [this, part, shared, writes, had_fence, claim = p.my_claim](Micros t, int status,
-                                                        const std::string& body) {
+                                                                   const std::string& body) {
          Part& q = parts_[static_cast<size_t>(part)];
          std::optional<wire::TxnReply> reply;
          if (status == 200 || status == 409) reply = wire::DecodeTxnReply(body);
@@ -851,7 +853,8 @@
            ++counters_.commit_conflicts;
            if (!shared->others.empty()) q.take_after = t + 250 * kMilli;
            ++q.conflicts;
-           q.not_before = t + std::min<Micros>(200 * kMilli, (10 * kMilli) << std::min(q.conflicts, 5));
+           q.not_before =
+               t + std::min<Micros>(200 * kMilli, (10 * kMilli) << std::min(q.conflicts, 5));
            if (reply) {
              for (const std::string& key : reply->failed) {
                if (ParseKey(key).kind == Key::Kind::kJob) FetchJob(t, ParseKey(key).id);
--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -33,8 +33,8 @@
   }
 }
 
-void Core::OnReport(Micros now, uint64_t request, const std::string& relay_from,
-                    uint64_t relay_id, const std::string& body) {
+void Core::OnReport(Micros now, uint64_t request, const std::string& relay_from, uint64_t relay_id,
+                    const std::string& body) {
   ++counters_.reports;
   std::optional<Report> report = wire::DecodeReport(body);
   if (!report) {
@@ -169,8 +169,9 @@
     double sum = 0;
     for (const auto& [name, size] : info->image_gb) sum += size;
     if (sum <= type->cache_gb) break;
-    auto oldest = std::min_element(info->images.begin(), info->images.end(),
-                                   [](const auto& a, const auto& b) { return a.second < b.second; });
+    auto oldest =
+        std::min_element(info->images.begin(), info->images.end(),
+                         [](const auto& a, const auto& b) { return a.second < b.second; });
     info->image_gb.erase(oldest->first);
     info->images.erase(oldest);
   }
@@ -303,17 +304,14 @@
     case ExitReason::kError:
     case ExitReason::kUnknown:
       if (!JobOver(attempt.job)) health_.Failed(now, machine.name, attempt.job);
-      Log(LogLine::Level::kDebug, "failed: " + attempt.job + "/" + std::to_string(attempt.task) +
-                                      " on " + machine.name);
-      break;
-    case ExitReason::kNoRoom:
-      mi.avoid_until = now + 3 * kSecond;
+      Log(LogLine::Level::kDebug,
+          "failed: " + attempt.job + "/" + std::to_string(attempt.task) + " on " + machine.name);
       break;
+    case ExitReason::kNoRoom: mi.avoid_until = now + 3 * kSecond; break;
     case ExitReason::kPeers:
     case ExitReason::kStopped:
     case ExitReason::kBusy:
-    case ExitReason::kNone:
-      break;
+    case ExitReason::kNone: break;
   }
 }
 
@@ -358,8 +356,7 @@
     if (at.stopping) {
       bool overdue = t.state == TaskState::kSaving && now - at.stop_at > 2 * at.grace + kGraceSlack;
       if (t.state != TaskState::kSaving || overdue || at.grace == 0) {
-        orders.push_back(
-            {Command::Op::kStop, t.job, t.task, t.attempt, overdue ? 0 : at.grace});
+        orders.push_back({Command::Op::kStop, t.job, t.task, t.attempt, overdue ? 0 : at.grace});
         at.stop_sent = true;
       }
     }
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -25,8 +25,8 @@
 }
 
 void SetUpLog() {
-  auto logger = std::make_shared<spdlog::logger>(
-      "troutlink", std::make_shared<spdlog::sinks::stderr_sink_st>());
+  auto logger = std::make_shared<spdlog::logger>("troutlink",
+                                                 std::make_shared<spdlog::sinks::stderr_sink_st>());
   spdlog::set_default_logger(logger);
   spdlog::set_pattern("%H:%M:%S.%e %l %v");
   const char* level = std::getenv("LOG_LEVEL");
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -7,8 +7,7 @@
 namespace {
 
 bool EqualsNoCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() &&
-         std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
            return std::tolower(static_cast<unsigned char>(x)) ==
                   std::tolower(static_cast<unsigned char>(y));
          });
@@ -181,8 +180,8 @@
   return State::kMessage;
 }
 
-std::string WriteRequest(std::string_view method, std::string_view target,
-                         std::string_view host, std::string_view body) {
+std::string WriteRequest(std::string_view method, std::string_view target, std::string_view host,
+                         std::string_view body) {
   std::string out;
   out.reserve(128 + target.size() + body.size());
   out.append(method).append(" ").append(target).append(" HTTP/1.1\r\nHost: ").append(host);
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -16,8 +16,8 @@
   int status = 0;
   // Both.
   std::string body;
-  bool close = false;       // the sender asked for the connection to be closed
-  int retry_after_s = 0;    // responses: Retry-After
+  bool close = false;     // the sender asked for the connection to be closed
+  int retry_after_s = 0;  // responses: Retry-After
 };
 
 struct Limits {
@@ -60,10 +60,9 @@
   int error_status_ = 400;
 };
 
-std::string WriteRequest(std::string_view method, std::string_view target,
-                         std::string_view host, std::string_view body);
-std::string WriteResponse(int status, std::string_view body, bool close,
-                          int retry_after_s);
+std::string WriteRequest(std::string_view method, std::string_view target, std::string_view host,
+                         std::string_view body);
+std::string WriteResponse(int status, std::string_view body, bool close, int retry_after_s);
 
 }  // namespace troutlink::http
 
--- a/src/mesh/codec.cc
+++ b/src/mesh/codec.cc
@@ -177,14 +177,13 @@
     }
     case 5: {
       ForwardReply m;
-      if (GetVarint(&in, &m.id) && GetVarint(&in, &m.status) &&
-          GetVarint(&in, &m.retry_after_s) && GetText(&in, &m.body)) {
+      if (GetVarint(&in, &m.id) && GetVarint(&in, &m.status) && GetVarint(&in, &m.retry_after_s) &&
+          GetText(&in, &m.body)) {
         return m;
       }
       break;
     }
-    default:
-      break;
+    default: break;
   }
   return std::nullopt;
 }
--- a/src/runtime/client.cc
+++ b/src/runtime/client.cc
@@ -71,8 +71,8 @@
   c->busy = true;
   c->call = waiting.call.id;
   c->deadline = waiting.deadline;
-  c->out = http::WriteRequest(waiting.call.method, waiting.call.target, c->endpoint,
-                              waiting.call.body);
+  c->out =
+      http::WriteRequest(waiting.call.method, waiting.call.target, c->endpoint, waiting.call.body);
   c->sent = 0;
   if (!c->connecting) Watch(c, EV_READ | EV_WRITE);
 }
--- a/src/runtime/node.cc
+++ b/src/runtime/node.cc
@@ -35,9 +35,10 @@
         loop_(ev_default_loop(EVFLAG_AUTO)),
         core_(settings, DrawBoot(), SteadyNow(), WallNow()),
         server_(loop_, ServerSockets(settings), [this](Request r) { OnRequest(std::move(r)); }),
-        client_(loop_, [this](uint64_t call, int status, std::string body) {
-          inbox_.push_back({call, status, std::move(body)});
-        }),
+        client_(loop_,
+                [this](uint64_t call, int status, std::string body) {
+                  inbox_.push_back({call, status, std::move(body)});
+                }),
         mesh_(loop_, settings.label, settings.siblings,
               [this](const std::string& from, const mesh::Message& m) {
                 Dispatch(core_.HandlePeer(SteadyNow(), from, m));
@@ -95,9 +96,7 @@
     }
   }
 
-  void OnRequest(Request request) {
-    Dispatch(core_.HandleRequest(SteadyNow(), request));
-  }
+  void OnRequest(Request request) { Dispatch(core_.HandleRequest(SteadyNow(), request)); }
 
   void Dispatch(Outbox out) {
     for (const LogLine& line : out.log) {
@@ -110,12 +109,8 @@
     for (const Call& call : out.calls) {
       switch (call.dest) {
         case Dest::kState:
-        case Dest::kWatch:
-          client_.Start(settings_.state, kStateConnections, call);
-          break;
-        case Dest::kCloud:
-          client_.Start(settings_.cloud, kCloudConnections, call);
-          break;
+        case Dest::kWatch: client_.Start(settings_.state, kStateConnections, call); break;
+        case Dest::kCloud: client_.Start(settings_.cloud, kCloudConnections, call); break;
         case Dest::kWorker:
           if (std::optional<Endpoint> to = ParseEndpoint(call.addr)) {
             client_.Start(*to, 1, call);
--- a/src/runtime/server.cc
+++ b/src/runtime/server.cc
@@ -104,16 +104,14 @@
 void Server::Parse(Connection* c) {
   http::Message message;
   switch (c->parser.Next(&message)) {
-    case http::Parser::State::kMore:
-      return;
+    case http::Parser::State::kMore: return;
     case http::Parser::State::kError:
       c->close_after = true;
       c->out = http::WriteResponse(c->parser.error_status(), "", true, 0);
       c->sent = 0;
       if (Write(c)) Watch(c);
       return;
-    case http::Parser::State::kMessage:
-      break;
+    case http::Parser::State::kMessage: break;
   }
   c->request = next_request_++;
   c->close_after = message.close;
--- a/src/runtime/server.h
+++ b/src/runtime/server.h
@@ -38,7 +38,7 @@
     int fd = -1;
     uint64_t request = 0;  // being answered
     bool close_after = false;
-    Micros last = 0;       // last byte in or out
+    Micros last = 0;  // last byte in or out
     std::string out;
     size_t sent = 0;
     http::Parser parser{http::Parser::Kind::kRequest, {8 * 1024, 64 * 1024}};
--- a/src/wire/worker.cc
+++ b/src/wire/worker.cc
@@ -96,8 +96,8 @@
 
 std::string EncodeReport(const Report& r) {
   static const char* kStates[] = {"pulling", "running", "flushing", "ended"};
-  static const char* kReasons[] = {"", "done", "halted", "error", "no_room", "in_use", "no_such",
-                                   "mates_gone"};
+  static const char* kReasons[] = {"",        "done",   "halted",  "error",
+                                   "no_room", "in_use", "no_such", "mates_gone"};
   Json tasks = Json::array();
   for (const TaskReport& t : r.tasks) {
     Json o = {{"piece", t.job + "/" + std::to_string(t.task)},
@@ -107,9 +107,9 @@
     if (t.saved) o["stored"] = true;
     tasks.push_back(std::move(o));
   }
-  Json m = {{"host", r.machine}, {"address", r.addr}, {"build", r.type}, {"room", r.zone},
-            {"loaners", r.spot}, {"shift", r.session}, {"tally", r.seq}, {"baton", r.token},
-            {"pieces", std::move(tasks)}};
+  Json m = {{"host", r.machine}, {"address", r.addr}, {"build", r.type},
+            {"room", r.zone},    {"loaners", r.spot}, {"shift", r.session},
+            {"tally", r.seq},    {"baton", r.token},  {"pieces", std::move(tasks)}};
   if (r.notice) m["warning_s"] = ToSeconds(*r.notice);
   return Pack(m);
 }
@@ -118,8 +118,7 @@
   return Pack(Json{{"baton", token}, {"orders", OrderList(commands)}});
 }
 
-std::string EncodeCommands(uint64_t token, uint64_t session,
-                           const std::vector<Command>& commands) {
+std::string EncodeCommands(uint64_t token, uint64_t session, const std::vector<Command>& commands) {
   return Pack(Json{{"baton", token}, {"shift", session}, {"orders", OrderList(commands)}});
 }
 
--- a/tests/stories_test.cc
+++ b/tests/stories_test.cc
@@ -25,8 +25,9 @@
   World w;
   w.run_time["job-1"] = 3 * kSecond;
   w.Run(kReady);
-  EXPECT_EQ(w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 6))).status,
-            201);
+  EXPECT_EQ(
+      w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 6))).status,
+      201);
   EXPECT_TRUE(w.Until([&] { return Status(w, 1, "job-1") == "done"; }, 60 * kSecond));
   EXPECT_EQ(Status(w, 2, "job-1"), "done");
   EXPECT_EQ(w.AskUntil(1, "POST", "/api/jobs/job-1/abort").body.value("status", ""), "done");
@@ -135,7 +136,10 @@
     w.cut_from_state = {i};
     w.Run(20 * kSecond);
     // A sibling decides for it: users notice nothing.
-    EXPECT_EQ(w.AskUntil(i, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-10" + std::to_string(i), 1))).status, 201);
+    EXPECT_EQ(w.AskUntil(i, "POST", "/api/jobs",
+                         wire::EncodeSubmission(World::Array("job-10" + std::to_string(i), 1)))
+                  .status,
+              201);
     for (int p = 0; p < 3; ++p) EXPECT_NE(w.OwnerOf(p), static_cast<int>(i));
     w.cut_from_state.clear();
     w.Run(3 * kSecond);
@@ -215,7 +219,8 @@
   // Every first direct command is held back for long.
   int lost = 0;
   w.lose = [&](size_t, const Call& call) {
-    return call.target == "/commands" && call.body.find("start") != std::string::npos && ++lost <= 3;
+    return call.target == "/commands" && call.body.find("start") != std::string::npos &&
+           ++lost <= 3;
   };
   w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 6)));
   w.Run(20 * kSecond);
@@ -312,8 +317,9 @@
     w.Start(i);
   }
   w.Run(kReady);
-  EXPECT_EQ(w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 2))).status,
-            201);
+  EXPECT_EQ(
+      w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 2))).status,
+      201);
 }
 
 TEST(Stories, IdleMachinesGoBackAndStrayOnesAreFound) {
--- a/tests/units_test.cc
+++ b/tests/units_test.cc
@@ -36,12 +36,12 @@
 }
 
 TEST(Tail, HelpersAreWholeMachinesCappedByTheCandidates) {
-  EXPECT_EQ(TailHelpers(0.13, 3, 8000, 16000), 1);   // rounded up: the exception
-  EXPECT_EQ(TailHelpers(100, 3, 8000, 16000), 2);    // no more than the tasks need
-  EXPECT_EQ(TailHelpers(20, 50, 8000, 16000), 2);    // no more than the credit allows
+  EXPECT_EQ(TailHelpers(0.13, 3, 8000, 16000), 1);  // rounded up: the exception
+  EXPECT_EQ(TailHelpers(100, 3, 8000, 16000), 2);   // no more than the tasks need
+  EXPECT_EQ(TailHelpers(20, 50, 8000, 16000), 2);   // no more than the credit allows
   EXPECT_EQ(TailHelpers(10, 0, 8000, 16000), 0);
   EXPECT_EQ(TailHelpers(0, 5, 8000, 16000), 0);
-  EXPECT_EQ(TailHelpers(10, 5, 32000, 16000), 0);    // would not fit
+  EXPECT_EQ(TailHelpers(10, 5, 32000, 16000), 0);  // would not fit
   EXPECT_TRUE(TailOverdue(21 * kSecond, 10 * kSecond, 2));
   EXPECT_FALSE(TailOverdue(19 * kSecond, 10 * kSecond, 2));
   EXPECT_FALSE(TailOverdue(19 * kSecond, 0, 2));
@@ -271,7 +271,7 @@
   EXPECT_FALSE(refused(j));
   std::string why;
   std::string packed = wire::Pack(good);
-  EXPECT_FALSE(wire::DecodeSubmission(packed + "x", &why));       // trailing bytes
+  EXPECT_FALSE(wire::DecodeSubmission(packed + "x", &why));         // trailing bytes
   EXPECT_FALSE(wire::DecodeSubmission(wire::Pack(Json(3)), &why));  // not a map
   EXPECT_FALSE(wire::DecodeSubmission(std::string("\x82\xa1") + "a\x01\xa1" + "a\x02", &why));
   EXPECT_FALSE(wire::DecodeSubmission(std::string("\x81\x01\x02"), &why));  // key is no text
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -188,22 +188,23 @@
 // --- world ----------------------------------------------------------------------
 
 World::World(int n) {
-  Json doc = {{"label", "node-0"},
-              {"area", "z1"},
-              {"serve_on", "10.0.0.1:8080"},
-              {"mesh_addr", "10.0.0.1:8081"},
-              {"siblings", Json::array()},
-              {"external", {{"cloud", "10.2.0.2:1"}, {"state", "10.2.0.1:1"}}},
-              {"facts",
-               {{"zones", {"z1", "z2"}},
-                {"teams",
-                 {{{"name", "red"}, {"cpus", 16.0}, {"cpus_max", 64.0}, {"gpus", 0.0}, {"gpus_max", 0.0}},
-                  {{"name", "blue"}, {"cpus", 0.0}, {"cpus_max", 0.0}, {"gpus", 0.0}, {"gpus_max", 0.0}}}},
-                {"workers", {{"report_s", 2.0}, {"lease_s", 10.0}, {"cancel_s", 30.0}}},
-                {"state", {{"rps", 200.0}, {"write_rps", 60.0}, {"value_kb", 16.0}, {"txn_ops", 12}}},
-                {"cloud", {{"rps", 6.0}, {"list_lag_s", 2.0}}},
-                {"resources", {{"cores", 1.0}, {"mem_mb", 64.0}, {"fd_limit", 500}}},
-                {"time_bound_ms", 5.0}}}};
+  Json doc = {
+      {"label", "node-0"},
+      {"area", "z1"},
+      {"serve_on", "10.0.0.1:8080"},
+      {"mesh_addr", "10.0.0.1:8081"},
+      {"siblings", Json::array()},
+      {"external", {{"cloud", "10.2.0.2:1"}, {"state", "10.2.0.1:1"}}},
+      {"facts",
+       {{"zones", {"z1", "z2"}},
+        {"teams",
+         {{{"name", "red"}, {"cpus", 16.0}, {"cpus_max", 64.0}, {"gpus", 0.0}, {"gpus_max", 0.0}},
+          {{"name", "blue"}, {"cpus", 0.0}, {"cpus_max", 0.0}, {"gpus", 0.0}, {"gpus_max", 0.0}}}},
+        {"workers", {{"report_s", 2.0}, {"lease_s", 10.0}, {"cancel_s", 30.0}}},
+        {"state", {{"rps", 200.0}, {"write_rps", 60.0}, {"value_kb", 16.0}, {"txn_ops", 12}}},
+        {"cloud", {{"rps", 6.0}, {"list_lag_s", 2.0}}},
+        {"resources", {{"cores", 1.0}, {"mem_mb", 64.0}, {"fd_limit", 500}}},
+        {"time_bound_ms", 5.0}}}};
   nodes_.resize(static_cast<size_t>(n));
   for (int i = 0; i < n; ++i) {
     doc["label"] = "node-" + std::to_string(i);
@@ -303,9 +304,16 @@
   if (cloud_down) return {503, {{"error", "trouble"}}};
   if (target == "/flavors") {
     Json types = Json::array();
-    types.push_back({{"sku", "small"}, {"cpus", 16}, {"cards", 0}, {"memory_gb", 64},
-                     {"local_gb", 40}, {"fetch_gb_per_s", 1.0}, {"price", 1.0},
-                     {"spot_price", 0.3}, {"ready_s", 5}, {"rooms", {"z1", "z2"}}});
+    types.push_back({{"sku", "small"},
+                     {"cpus", 16},
+                     {"cards", 0},
+                     {"memory_gb", 64},
+                     {"local_gb", 40},
+                     {"fetch_gb_per_s", 1.0},
+                     {"price", 1.0},
+                     {"spot_price", 0.3},
+                     {"ready_s", 5},
+                     {"rooms", {"z1", "z2"}}});
     return {200, {{"builds", types}}};
   }
   if (target == "/rentals/return") {
@@ -329,7 +337,8 @@
     rentals += count;
     Json hosts = Json::array();
     for (int i = 0; i < count; ++i) {
-      FakeWorker& w = AddWorker(body.at("build").get<std::string>(), body.at("loaners").get<bool>());
+      FakeWorker& w =
+          AddWorker(body.at("build").get<std::string>(), body.at("loaners").get<bool>());
       w.zone = body.at("room").get<std::string>();
       w.next_report = w.lease_from = now + 5 * kSecond;
       hosts.push_back(w.name);
@@ -339,8 +348,12 @@
   Json list = Json::array();
   for (const auto& [name, w] : workers) {
     if (w->dead) continue;
-    list.push_back({{"name_id", name}, {"address", w->addr}, {"build", w->type}, {"room", w->zone},
-                    {"loaners", w->spot}, {"status", w->lease_from > now ? "booting" : "running"},
+    list.push_back({{"name_id", name},
+                    {"address", w->addr},
+                    {"build", w->type},
+                    {"room", w->zone},
+                    {"loaners", w->spot},
+                    {"status", w->lease_from > now ? "booting" : "running"},
                     {"age_s", 60.0}});
   }
   return {200, {{"hosts", list}, {"truncated", false}}};
@@ -363,8 +376,7 @@
       auto [status, reply] = Cloud(call.method, call.target, body);
       return {status, wire::Pack(reply)};
     }
-    case Dest::kWorker:
-      break;
+    case Dest::kWorker: break;
   }
   for (auto& [name, w] : workers) {
     if (w->addr != call.addr || w->dead) continue;
@@ -551,8 +563,8 @@
   }
   for (size_t i = 0; i < watches_.size();) {
     OpenWatch& w = watches_[i];
-    bool blocked = state_down || cut_from_state.count(w.node) != 0 ||
-                   refused_by_state.count(w.node) != 0;
+    bool blocked =
+        state_down || cut_from_state.count(w.node) != 0 || refused_by_state.count(w.node) != 0;
     Json events = Json::array();
     if (!blocked) {
       for (const FakeState::Change& c : state.changes) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -102,9 +102,9 @@
   static JobSpec Service(const std::string& id, int tasks);
 
   // --- troubles ---
-  bool state_down = false;                 // 503 to all
-  std::set<size_t> cut_from_state;         // requests of these get no answer
-  std::set<size_t> refused_by_state;       // these get 503
+  bool state_down = false;            // 503 to all
+  std::set<size_t> cut_from_state;    // requests of these get no answer
+  std::set<size_t> refused_by_state;  // these get 503
   std::set<size_t> cut_from_workers;
   bool cloud_down = false;
   int capacity = 100;
@@ -133,9 +133,7 @@
     Micros at;
     uint64_t order;
     std::function<void()> run;
-    bool operator>(const Event& o) const {
-      return at != o.at ? at > o.at : order > o.order;
-    }
+    bool operator>(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
   };
   struct Node {
     Settings settings;
