--- a/src/core/core.h
+++ b/src/core/core.h
@@ -89,8 +89,9 @@
     Micros not_before = 0;
     Micros cleanup_at = 0;
     int conflicts = 0;
-    Micros take_after = 0;  // other parts are left alone until then
-    Micros calm_since = 0;  // nothing has waited since
+    Micros take_after = 0;    // other parts are left alone until then
+    Micros explained_at = 0;  // last log of why something critical waits
+    Micros calm_since = 0;    // nothing has waited since
     Micros consolidate_at = 0;
     Micros changed_at = 0;  // last change of the roster
     Micros progress_at = 0;
@@ -291,7 +292,7 @@
   bool SpreadServices(int part) const;
   // The last moment at which the rest of a job may start and still be in time.
   Micros LatestStart(const JobRecord& record) const;
-  bool LastOfZone(const Roster& roster, const std::string& machine) const;
+  bool LastOfZone(const Draft& draft, const std::string& machine) const;
   bool LastWarm(const Draft& draft, const std::string& machine) const;
   void Consolidate(Micros now, int part, Draft* draft);
   void DraftMoves(Micros now, int part, Draft* draft);
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -13,6 +13,8 @@
 constexpr Micros kTypesPeriod = 60 * kSecond;
 constexpr Micros kJudgePeriod = 250 * kMilli;
 constexpr Micros kStrayAfter = 20 * kSecond;
+// Room in a zone, in thousandths of cpus, that counts as having a place there.
+constexpr int64_t kZoneRoom = 4000;
 constexpr int kMostPerRental = 50;
 constexpr int kPageLimit = 500;
 
@@ -190,7 +192,7 @@
   }
   for (const PlaceMachine& m : draft->machines) {
     if (!m.usable || !m.helps.empty()) continue;
-    (m.spot ? spot_free : steady_free) += std::max<int64_t>(0, m.free.cpus);
+    (m.spot ? spot_free : steady_free) += std::max<int64_t>(0, m.free.cpus) + (m.spot ? 0 : m.soft);
   }
   const int64_t headroom = SteadyHeadroom(part);
   double array_cpus = 0, ahead = 0;
@@ -263,21 +265,27 @@
   }
   // Services that spread over zones need a steady machine in two of them.
   if (spread_seen_ && headroom > 0 && s_.zones.size() > 1) {
-    std::set<std::string> zones;
-    for (const auto& [name, m] : draft->roster.machines) {
-      if (!m.spot && !m.leaving && m.helps.empty()) zones.insert(m.zone);
+    std::map<std::string, int64_t> room;
+    for (const PlaceMachine& m : draft->machines) {
+      if (!m.spot && m.usable && m.helps.empty()) {
+        room[m.zone] += std::max<int64_t>(0, m.free.cpus) + m.soft;
+      }
     }
-    for (const auto& [id, h] : draft->roster.hires) {
-      if (!h.ask.spot) zones.insert(h.ask.zone);
+    for (const Coming& c : coming) {
+      if (!c.spot && c.helps.empty()) room[c.zone] += c.free.cpus;
+    }
+    std::set<std::string> zones;
+    for (const auto& [zone, cpus] : room) {
+      if (cpus >= kZoneRoom) zones.insert(zone);
     }
-    if (zones.size() == 1) {
+    if (zones.size() < 2) {
       JobSpec service;
       service.id = "headroom";
       service.tasks = 1;
       service.spread = true;
       service.each.cpus = kMilli;
       JobSpread taken;
-      taken.by_zone[*zones.begin()] = 1;
+      for (const std::string& zone : zones) taken.by_zone[zone] = 1;
       Offer offer;
       if (PickOffer(now, service, taken, false, draft->roster, &offer)) {
         AddHire(part, draft, offer, false, 1, "", "a second zone");
@@ -297,14 +305,21 @@
 }
 
 // Whether services that spread would miss this machine's zone.
-bool Core::LastOfZone(const Roster& roster, const std::string& machine) const {
+bool Core::LastOfZone(const Draft& draft, const std::string& machine) const {
   if (!spread_seen_ || s_.zones.size() < 2) return false;
-  const std::string& zone = roster.machines.at(machine).zone;
-  std::set<std::string> others;
-  for (const auto& [name, m] : roster.machines) {
-    if (name != machine && !m.spot && !m.leaving && m.helps.empty()) others.insert(m.zone);
+  std::string zone;
+  std::map<std::string, int64_t> others;
+  for (const PlaceMachine& m : draft.machines) {
+    if (m.spot || !m.helps.empty()) continue;
+    if (m.name == machine) {
+      zone = m.zone;
+    } else if (m.usable) {
+      others[m.zone] += std::max<int64_t>(0, m.free.cpus) + m.soft;
+    }
   }
-  return others.count(zone) == 0 && others.size() < 2;
+  int zones = 0;
+  for (const auto& [z, cpus] : others) zones += cpus >= kZoneRoom ? 1 : 0;
+  return zones < 2 && others[zone] < kZoneRoom;
 }
 
 // Whether without this machine too little room is left where some service's
@@ -326,7 +341,7 @@
   int64_t steady_free = 0, spot_free = 0;
   for (const PlaceMachine& m : draft->machines) {
     if (!m.usable || !m.helps.empty()) continue;
-    (m.spot ? spot_free : steady_free) += std::max<int64_t>(0, m.free.cpus);
+    (m.spot ? spot_free : steady_free) += std::max<int64_t>(0, m.free.cpus) + (m.spot ? 0 : m.soft);
   }
   const int64_t headroom = SteadyHeadroom(part);
   const auto spare = static_cast<int64_t>(s_.op.array_headroom_share() * p.array_peak);
@@ -364,7 +379,7 @@
           spot_free -= type->size.cpus;
           m.leaving = true;
         }
-      } else if (!LastOfZone(draft->roster, name) && !LastWarm(*draft, name) &&
+      } else if (!LastOfZone(*draft, name) && !LastWarm(*draft, name) &&
                  steady_free - type->size.cpus >=
                      headroom + std::max<int64_t>(0, spare - spot_free)) {
         steady_free -= type->size.cpus;
@@ -392,7 +407,9 @@
   p.consolidate_at = now + 500 * kMilli;
   int64_t steady_free = 0;
   for (const PlaceMachine& m : draft->machines) {
-    if (m.usable && !m.spot && m.helps.empty()) steady_free += std::max<int64_t>(0, m.free.cpus);
+    if (m.usable && !m.spot && m.helps.empty()) {
+      steady_free += std::max<int64_t>(0, m.free.cpus) + m.soft;
+    }
   }
   const int64_t headroom = SteadyHeadroom(part);
   // The one being cleared goes first, else the one with least on it.
@@ -405,7 +422,7 @@
     const MachineType* type = TypeOf(m.type);
     if (type == nullptr) continue;
     if (used <= 0 || (!info.drain && 2 * used > m.size.cpus)) continue;
-    if (!info.drain && (LastOfZone(draft->roster, m.name) || LastWarm(*draft, m.name))) continue;
+    if (!info.drain && (LastOfZone(*draft, m.name) || LastWarm(*draft, m.name))) continue;
     if (!info.drain && steady_free - m.free.cpus - used < headroom) continue;
     // What it saves for each cpu that moves.
     used =
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -32,7 +32,7 @@
   int64_t free = 0;
   for (const PlaceMachine& m : machines) {
     if (!m.usable || m.spot || m.name == except || !m.helps.empty()) continue;
-    if (m.images.count(image) != 0) free += std::max<int64_t>(0, m.free.cpus);
+    if (m.images.count(image) != 0) free += std::max<int64_t>(0, m.free.cpus) + m.soft;
   }
   return free;
 }
@@ -48,6 +48,9 @@
     if (r.zone_headroom > 0) zone_free[m.zone] += std::max<int64_t>(0, m.free.cpus);
   }
   std::map<std::string, int64_t> warm_free;
+  // Work that saves nothing is stopped within moments: it may use the room that
+  // is kept for services, and makes way for them.
+  const bool soft = spec.checkpoint == 0;
   int best = -1;
   double best_score = 0;
   for (size_t i = 0; i < machines.size(); ++i) {
@@ -56,13 +59,13 @@
     if (!m.helps.empty() && m.helps != spec.id) continue;
     if (r.avoid != nullptr && *r.avoid == m.name) continue;
     if (!Allowed(spec, *r.spread, m)) continue;
-    if (!service && !m.spot && !r.tail && spec.priority != Priority::kProduction &&
+    if (!service && !soft && !m.spot && !r.tail && spec.priority != Priority::kProduction &&
         (steady_free - spec.each.cpus < r.steady_headroom ||
          (r.zone_headroom > 0 && zone_free[m.zone] - spec.each.cpus < r.zone_headroom))) {
       continue;
     }
-    if (!service && !m.spot && r.service_images != nullptr && r.image_headroom > 0 && !r.tail &&
-        spec.priority != Priority::kProduction) {
+    if (!service && !soft && !m.spot && r.service_images != nullptr && r.image_headroom > 0 &&
+        !r.tail && spec.priority != Priority::kProduction) {
       // A service starts at once only where its image is: room there is kept.
       bool keeps = true;
       for (const std::string& image : *r.service_images) {
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -180,8 +180,12 @@
     }
   }
   if (services == 0) return 0;
+  // The longer a machine takes to come, the more may be asked for meanwhile.
+  Micros boot = 3600 * kSecond;
+  for (const MachineType& t : types_) boot = std::min(boot, t.boot);
+  double scale = std::max(1.0, ToSeconds(boot) / 20.0);
   return std::max(
-      static_cast<int64_t>(1000 * s_.op.service_headroom_cpus()),
+      static_cast<int64_t>(1000 * s_.op.service_headroom_cpus() * scale),
       static_cast<int64_t>(s_.op.service_headroom_share() * static_cast<double>(services)));
 }
 
@@ -460,6 +464,17 @@
     if (no_machine && left > 0) {
       draft->unmet.push_back({&spec, left, tail});
       if (w.run->unmet_since == 0) w.run->unmet_since = now;
+      if (spec.priority == Priority::kProduction && now - p.explained_at > kSecond) {
+        p.explained_at = now;
+        std::string why = "no room for " + spec.id + " (" + std::to_string(left) + " left):";
+        for (const PlaceMachine& m : draft->machines) {
+          if (m.spot && !spec.spot) continue;
+          why += " " + m.name + "/" + m.zone + (m.usable ? "" : " unusable") +
+                 (Allowed(spec, spread, m) ? "" : " not allowed") + " " +
+                 std::to_string(m.free.cpus / 1000) + " cpus free;";
+        }
+        Log(LogLine::Level::kDebug, std::move(why));
+      }
       if (spec.priority == Priority::kProduction) DraftPreemption(now, part, draft, spec);
     }
   }
