A fading peak no longer keeps a last machine; stories for refusals and late messages

Cause (found by the story of a late rental): the peak of array work dwindled by a factor a round and never reached nothing, so one machine a part stayed idle for minutes after the last array. New stories: refused by the state service alone, 429, late rental, new session, hung machine, gang, preemption.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -97,7 +97,8 @@
     Micros progress_at = 0;
     bool progress_dirty = false;
     uint32_t batch = 0;
-    double array_peak = 0;  // recent peak of cpus that arrays wanted
+    double peak = 0;        // of the cpus that arrays wanted, and when it was
+    double array_peak = 0;  // the same, faded
     Micros peak_at = 0;
   };
 
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -352,9 +352,14 @@
     double work = static_cast<double>(left * spec.each.cpus) / 1000 * ToSeconds(spec.estimate);
     waiting.push_back({&spec, &run, left, within, late, key, work});
   }
-  double decay = p.peak_at == 0 ? 0 : std::max(0.0, 1.0 - ToSeconds(now - p.peak_at) / 60.0);
-  p.array_peak = std::max(array_cpus, p.array_peak * decay);
-  p.peak_at = now;
+  // The recent peak fades within a minute, and to nothing: a share of it that
+  // only dwindled would keep a last machine for long.
+  double faded = p.peak * std::max(0.0, 1.0 - ToSeconds(now - p.peak_at) / 60.0);
+  if (array_cpus >= faded) {
+    p.peak = faded = array_cpus;
+    p.peak_at = now;
+  }
+  p.array_peak = faded;
   // With more waiting than machines can do soon, not all can be in time: small
   // jobs go first then, and most of them are.
   double backlog = 0, capacity = 0;
--- a/tests/stories_test.cc
+++ b/tests/stories_test.cc
@@ -322,6 +322,119 @@
       201);
 }
 
+TEST(Stories, ANodeThatTheStateServiceRefusesPassesItsWorkOn) {
+  World w;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 4)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 4; }, 30 * kSecond));
+  w.refused_by_state = {1};
+  w.Run(15 * kSecond);
+  EXPECT_NE(w.OwnerOf(1), 1);
+  EXPECT_EQ(Status(w, 1, "job-5"), "running");  // a sibling answers for it
+  w.refused_by_state.clear();
+  EXPECT_TRUE(w.Until([&] { return w.OwnerOf(1) == 1; }, 40 * kSecond));
+  EXPECT_EQ(w.OnMachines("job-5"), 4);
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, TooManyRequestsAreAnsweredAtOnceAndWorkGoesOnAfterwards) {
+  World w;
+  w.run_time["job-1"] = 3 * kSecond;
+  w.Run(kReady);
+  w.state_busy = true;
+  auto a = w.Submit(0, World::Array("job-1", 3));
+  EXPECT_TRUE(w.Until([&] { return a->status != -100; }, kSecond));
+  EXPECT_EQ(a->status, 503);
+  EXPECT_GE(a->retry_after, 1);
+  w.Run(5 * kSecond);
+  w.state_busy = false;
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 3)));
+  EXPECT_TRUE(w.Until([&] { return Status(w, 0, "job-1") == "done"; }, 60 * kSecond));
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, ALateRentalIsNotRentedAgainNorForgotten) {
+  World w;
+  w.run_time["job-1"] = 3 * kSecond;
+  w.Run(kReady);
+  // The cloud carries the first requests out, but only much later.
+  int lost = 0;
+  w.lose = [&](size_t, const Call& call) {
+    return call.method == "POST" && call.target == "/rentals" && ++lost <= 1;
+  };
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 3)));
+  w.Run(3 * kSecond);
+  ASSERT_EQ(lost, 1);
+  w.DeliverHeld();  // now the machines exist, and nobody was told
+  EXPECT_TRUE(w.Until([&] { return Status(w, 0, "job-1") == "done"; }, 90 * kSecond));
+  EXPECT_TRUE(w.Until([&] { return w.returns == w.rentals; }, 120 * kSecond));
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, ANewSessionStartsItsTasksAgainOnce) {
+  World w;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 2)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 2; }, 30 * kSecond));
+  // The network was away for just longer than the lease, unseen by the nodes.
+  for (auto& [name, x] : w.workers) {
+    if (!x->Has("job-5")) continue;
+    x->tasks.clear();
+    ++x->session;
+  }
+  EXPECT_EQ(w.OnMachines("job-5"), 0);
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 2; }, 10 * kSecond));
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, AHungMachineThatWakesFindsItsTasksNowhereElse) {
+  World w;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 2)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 2; }, 30 * kSecond));
+  FakeWorker* with = nullptr;
+  for (auto& [n, x] : w.workers) {
+    if (x->Has("job-5")) with = x.get();
+  }
+  with->silent = true;
+  w.Run(8 * kSecond);  // within its lease
+  EXPECT_FALSE(with->dead);
+  with->silent = false;
+  w.Run(10 * kSecond);
+  EXPECT_FALSE(with->dead);
+  EXPECT_EQ(w.OnMachines("job-5"), 2);
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, AGangStartsWholeWithOneAttempt) {
+  World w;
+  w.run_time["job-9"] = 4 * kSecond;
+  w.Run(kReady);
+  JobSpec gang = World::Array("job-9", 5);
+  gang.kind = JobKind::kGang;
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(gang));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-9") == 5; }, 40 * kSecond));
+  std::set<uint64_t> attempts;
+  for (auto& [n, x] : w.workers) {
+    for (auto& [key, t] : x->tasks) attempts.insert(t.attempt);
+  }
+  EXPECT_EQ(attempts.size(), 1u);
+  EXPECT_TRUE(w.Until([&] { return Status(w, 1, "job-9") == "done"; }, 30 * kSecond));
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, CriticalWorkPushesLesserWorkAside) {
+  World w;
+  w.capacity = 0;
+  w.AddWorker("small");
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 8)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-1") == 4; }, 20 * kSecond));
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 2)));
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 2; }, 3 * kSecond));
+  EXPECT_KEPT(w);
+}
+
 TEST(Stories, IdleMachinesGoBackAndStrayOnesAreFound) {
   World w;
   w.AddWorker("small");
--- a/tests/units_test.cc
+++ b/tests/units_test.cc
@@ -109,6 +109,9 @@
   r.spread = &spread;
   EXPECT_EQ(ChooseMachine(r, machines), 1);
   r.steady_headroom = 30000;
+  // Work that stops at once may use the headroom; work that saves may not.
+  EXPECT_EQ(ChooseMachine(r, machines), 1);
+  s.checkpoint = 20 * kSecond;
   EXPECT_EQ(ChooseMachine(r, machines), -1);
   s.kind = JobKind::kService;
   EXPECT_EQ(ChooseMachine(r, machines), 1);
