--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -329,8 +329,20 @@
   for (const PlaceMachine& m : draft.machines) {
     if (m.name != machine) continue;
     for (const std::string& image : draft.service_images) {
-      if (m.images.count(image) != 0 && WarmFree(draft.machines, image, machine) < keep)
-        return true;
+      if (m.images.count(image) == 0) continue;
+      if (WarmFree(draft.machines, image, machine) < keep) return true;
+      if (!spread_seen_ || s_.zones.size() < 2) continue;
+      // Services that spread start at once only where two zones have it.
+      std::map<std::string, int64_t> others;
+      for (const PlaceMachine& o : draft.machines) {
+        if (o.spot || !o.usable || !o.helps.empty() || o.name == machine) continue;
+        if (o.images.count(image) != 0) {
+          others[o.zone] += std::max<int64_t>(0, o.free.cpus) + o.soft;
+        }
+      }
+      int zones = 0;
+      for (const auto& [z, cpus] : others) zones += cpus >= kZoneRoom ? 1 : 0;
+      if (zones < 2 && others[m.zone] < kZoneRoom) return true;
     }
   }
   return false;
--- a/src/core/records.cc
+++ b/src/core/records.cc
@@ -58,7 +58,8 @@
   return wire::Pack(Json{{"spec", std::move(spec)},
                          {"part", job.part},
                          {"state", static_cast<int>(job.state)},
-                         {"submitted", job.submitted}});
+                         {"submitted", job.submitted},
+                         {"moves", job.moves}});
 }
 
 std::optional<JobRecord> DecodeJob(std::string_view value) {
@@ -76,6 +77,7 @@
   job.part = static_cast<int>(*part);
   job.state = static_cast<JobState>(*state);
   job.submitted = static_cast<Micros>(submitted.value_or(0));
+  job.moves = static_cast<int>(wire::Count(*doc, "moves").value_or(0));
   return job;
 }
 
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -35,6 +35,7 @@
   int part = 0;
   JobState state = JobState::kOpen;
   Micros submitted = 0;  // time of day
+  int moves = 0;         // from part to part; bounded, or full parts would pass it around
 };
 std::string EncodeJob(const JobRecord& job);
 std::optional<JobRecord> DecodeJob(std::string_view value);
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -15,6 +15,7 @@
 constexpr Micros kCleanupPeriod = 700 * kMilli;
 constexpr Micros kRoundPeriod = 80 * kMilli;
 constexpr Micros kIdleRound = 250 * kMilli;
+constexpr Micros kWholePatience = 500 * kMilli;
 constexpr Micros kTakeAfter = 1500 * kMilli;
 }  // namespace
 
@@ -289,6 +290,8 @@
     if (run == nullptr || run->done > 0 || run->placed > 0 || draft->jobs.count(spec.id) != 0) {
       continue;
     }
+    const JobEntry* job = FindJob(spec.id);
+    if (job == nullptr || job->record.moves >= (spec.kind == JobKind::kService ? 2 : 6)) continue;
     Micros patience = spec.priority == Priority::kProduction ? 60 * kMilli : 1500 * kMilli;
     if (run->unmet_since == 0 || now - run->unmet_since < patience) continue;
     std::vector<Room> rooms = RoomsFor(spec);
@@ -316,6 +319,7 @@
     bool late;
     Micros key;
     double work;  // cpu seconds that wait
+    int moves;
   };
   std::map<std::string, Share> everywhere;  // by team, over all parts
   for (const Team& t : s_.teams) {
@@ -350,7 +354,7 @@
     bool late = spec.kind != JobKind::kService && key < WallNow(now);
     if (late) key = job->record.submitted;
     double work = static_cast<double>(left * spec.each.cpus) / 1000 * ToSeconds(spec.estimate);
-    waiting.push_back({&spec, &run, left, within, late, key, work});
+    waiting.push_back({&spec, &run, left, within, late, key, work, job->record.moves});
   }
   // The recent peak fades within a minute, and to nothing: a share of it that
   // only dwindled would keep a last machine for long.
@@ -400,12 +404,18 @@
     }
     bool asked_share = false;
     const bool gang = spec.kind == JobKind::kGang;
-    std::unique_ptr<Draft> before = gang ? std::make_unique<Draft>(*draft) : nullptr;
+    // A service that spreads is not begun where it cannot be completed, as long
+    // as another part may take it: its replicas would tie it to this one.
+    const bool whole =
+        gang ||
+        (spec.spread && spec.kind == JobKind::kService && w.run->placed == 0 && w.moves < 2 &&
+         (w.run->unmet_since == 0 || now - w.run->unmet_since < kWholePatience));
+    std::unique_ptr<Draft> before = whole ? std::make_unique<Draft>(*draft) : nullptr;
     int left = w.tasks;
     bool no_machine = false;
     for (size_t i = static_cast<size_t>(w.run->hint); i < w.run->tasks.size() && left > 0; ++i) {
       if (w.run->tasks[i] != kWaiting) continue;
-      if (started >= batch && !gang) break;
+      if (started >= batch && !whole) break;
       auto within = [&] {
         Share share = ShareOf(draft->roster, team, part, s_.parts());
         share.cpus -= kept.cpus;
@@ -457,12 +467,13 @@
       }
       ++started;
       --left;
-      w.run->unmet_since = 0;
+      if (!whole) w.run->unmet_since = 0;
       draft->urgent = true;
       draft->critical = draft->critical || spec.priority == Priority::kProduction;
     }
-    if (gang && left > 0) {
+    if (whole && left > 0) {
       *draft = std::move(*before);
+      if (w.run->unmet_since == 0) w.run->unmet_since = now;
       if (no_machine) draft->unmet.push_back({&spec, w.tasks, tail});
       continue;
     }
@@ -774,6 +785,7 @@
     if (static_cast<int>(txn.writes.size()) + 2 > s_.txn_ops) break;
     JobRecord record = job->record;
     record.part = to;
+    ++record.moves;
     txn.conditions.emplace_back(JobKey(id), job->version);
     draft->jobs.erase(id);
     txn.writes.push_back({JobKey(id), EncodeJob(record), 0, false});
--- a/tests/stories_test.cc
+++ b/tests/stories_test.cc
@@ -435,6 +435,28 @@
   EXPECT_KEPT(w);
 }
 
+TEST(Stories, ASpreadServiceBeginsWhereItCanBeCompleted) {
+  // Part 0 gets machines of one zone only; whichever part the job is given to,
+  // it ends up with a replica in each of two zones, and nobody passes it on.
+  World w;
+  w.capacity = 0;
+  for (int i = 0; i < 6; ++i) w.AddWorker("small").zone = i < 4 ? "z1" : "z2";
+  w.Run(kReady);
+  JobSpec spec = World::Service("job-8", 2);
+  spec.spread = true;
+  for (size_t n = 0; n < 3; ++n) {
+    spec.id = "job-8" + std::to_string(n);
+    w.AskUntil(n, "POST", "/api/jobs", wire::EncodeSubmission(spec));
+    EXPECT_TRUE(w.Until([&] { return w.OnMachines(spec.id) == 2; }, 10 * kSecond)) << spec.id;
+    std::set<std::string> zones;
+    for (auto& [name, x] : w.workers) {
+      if (x->Has(spec.id)) zones.insert(x->zone);
+    }
+    EXPECT_EQ(zones.size(), 2u);
+  }
+  EXPECT_KEPT(w);
+}
+
 TEST(Stories, IdleMachinesGoBackAndStrayOnesAreFound) {
   World w;
   w.AddWorker("small");
