--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -305,7 +305,8 @@
     draft->moved[spec.id] = best;
     draft->urgent = true;
     draft->critical = draft->critical || spec.priority == Priority::kProduction;
-    run->unmet_since = now;  // not again at once
+    Log(LogLine::Level::kDebug, "move " + spec.id + " from part " + std::to_string(part) + " to " +
+                                    std::to_string(best));
   }
 }
 
