--- a/tests/stories_test.cc
+++ b/tests/stories_test.cc
@@ -457,6 +457,53 @@
   EXPECT_KEPT(w);
 }
 
+TEST(Stories, ANodeMayEndAtAnyMoment) {
+  // The moments sweep over commits, starts, rentals and their answers.
+  for (int moment = 0; moment < 60; ++moment) {
+    World w;
+    w.run_time["job-1"] = 4 * kSecond;
+    w.Run(kReady);
+    w.Submit(0, World::Array("job-1", 6));
+    w.Submit(1, World::Service("job-2", 2));
+    w.Run(moment < 30 ? moment * 2 * kMilli : moment * 150 * kMilli);
+    for (size_t n = 0; n < 3; ++n) {
+      if (moment % 4 == 3 || static_cast<int>(n) == moment % 4) w.Kill(n);
+    }
+    w.Run((moment % 3) * 2 * kSecond + 100 * kMilli);
+    for (size_t n = 0; n < 3; ++n) {
+      if (!w.alive(n)) w.Start(n);
+    }
+    // A job whose submission was not answered may be submitted again.
+    w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 6)));
+    w.AskUntil(1, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-2", 2)));
+    EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-2") == 2; }, 60 * kSecond)) << moment;
+    EXPECT_TRUE(w.Until(
+        [&] {
+          w.Run(500 * kMilli);
+          return Status(w, 2, "job-1") == "done";
+        },
+        90 * kSecond))
+        << moment;
+    ASSERT_TRUE(w.broken.empty()) << w.broken.front() << " at moment " << moment;
+  }
+}
+
+TEST(Stories, SiblingsThatDoNotHearEachOtherKeepTheirPartsAndWork) {
+  World w;
+  w.run_time["job-1"] = 3 * kSecond;
+  w.Run(kReady);
+  w.mesh_down = true;
+  for (size_t n = 0; n < 3; ++n) {
+    std::string id = "job-2" + std::to_string(n);
+    w.AskUntil(n, "POST", "/api/jobs", wire::EncodeSubmission(World::Service(id, 2)));
+    EXPECT_TRUE(w.Until([&] { return w.OnMachines(id) == 2; }, 30 * kSecond));
+  }
+  w.Run(45 * kSecond);  // longer than a cancel: the state service vouches instead
+  for (int p = 0; p < 3; ++p) EXPECT_EQ(w.OwnerOf(p), p);
+  for (size_t n = 0; n < 3; ++n) EXPECT_EQ(w.OnMachines("job-2" + std::to_string(n)), 2);
+  EXPECT_KEPT(w);
+}
+
 TEST(Stories, IdleMachinesGoBackAndStrayOnesAreFound) {
   World w;
   w.AddWorker("small");
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -450,6 +450,7 @@
 void World::Dispatch(size_t node, Outbox out) {
   for (const Call& call : out.calls) Carry(node, call);
   for (const PeerMessage& m : out.peers) {
+    if (mesh_down) break;
     size_t to = static_cast<size_t>(m.to.back() - '0');
     // Through the codec, as on the network.
     std::string frame = mesh::Encode(m.message);
--- a/tests/world.h
+++ b/tests/world.h
@@ -107,6 +107,7 @@
   std::set<size_t> refused_by_state;  // these get 503
   std::set<size_t> cut_from_workers;
   bool state_busy = false;  // 429 to all but renewals and watches
+  bool mesh_down = false;   // siblings do not hear each other
   bool cloud_down = false;
   int capacity = 100;
   // Called for every call that a node sends; true: it is lost (no answer, but
