--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -50,10 +50,10 @@
 // zones, and free cpus less what already waits there.
 std::vector<Core::Room> Core::RoomsFor(const JobSpec& spec) const {
   std::vector<Room> rooms(parts_.size());
-  for (const auto& [id, entry] : jobs_) {
+  for (const std::string& id : open_jobs_) {
     if (id == spec.id) continue;
-    const JobRecord& r = entry.record;
-    if (r.state != JobState::kOpen || r.part < 0 || r.part >= s_.parts()) continue;
+    const JobRecord& r = jobs_.at(id).record;
+    if (r.part < 0 || r.part >= s_.parts()) continue;
     const Part& p = parts_[static_cast<size_t>(r.part)];
     int64_t waiting = r.spec.tasks;
     auto run = runs_.find(id);
@@ -62,9 +62,8 @@
     } else {
       auto progress = p.progress.find(id);
       if (progress != p.progress.end()) waiting -= static_cast<int64_t>(progress->second.size());
-      for (const auto& [name, m] : p.roster.machines) {
-        for (const Attempt& a : m.attempts) waiting -= a.job == id ? 1 : 0;
-      }
+      auto placed = p.use.jobs.find(id);
+      if (placed != p.use.jobs.end()) waiting -= placed->second;
     }
     // Only work that comes first counts against a critical job.
     if (waiting > 0 && r.spec.priority >= spec.priority) {
@@ -361,9 +360,8 @@
     const Part& p = parts_[static_cast<size_t>(r.part)];
     auto progress = p.progress.find(id);
     if (progress != p.progress.end()) out.done = static_cast<int64_t>(progress->second.size());
-    for (const auto& [name, m] : p.roster.machines) {
-      for (const Attempt& a : m.attempts) out.running += a.job == id ? 1 : 0;
-    }
+    auto placed = p.use.jobs.find(id);
+    if (placed != p.use.jobs.end()) out.running = placed->second;
   }
   out.state = out.running > 0 ? "running" : "queued";
   return out;
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -264,6 +264,8 @@
   put("relays_total", c.relays);
   put("forwards_total", c.forwards);
   put("cared_total", c.cared);
+  put("rounds_total", c.rounds);
+  put("oversized_total", c.oversized);
   put("commits_total", c.commits);
   put("commit_conflicts_total", c.commit_conflicts);
   put("commit_unknown_total", c.commit_unknown);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -25,6 +25,7 @@
 struct Counters {
   uint64_t submissions = 0, accepted = 0, refused = 0, polls = 0, aborts = 0;
   uint64_t reports = 0, redirects = 0, relays = 0, forwards = 0, cared = 0;
+  uint64_t rounds = 0, oversized = 0;
   uint64_t commits = 0, commit_conflicts = 0, commit_unknown = 0, puts = 0;
   uint64_t state_calls = 0, cloud_calls = 0, worker_calls = 0, worker_unknown = 0;
   uint64_t starts = 0, stops = 0, gone = 0, takes = 0, share_moves = 0, job_moves = 0,
@@ -59,14 +60,22 @@
     uint64_t version = 0;
   };
   struct Chunk {
-    std::string value;
     uint64_t version = 0;
+    std::vector<std::string> names;  // of its machines
+  };
+  // What a part's attempts use, counted once for each change of its roster.
+  struct Use {
+    std::map<std::string, Share> teams;
+    std::unordered_map<std::string, int> jobs;  // attempts
   };
   struct Part {
     uint64_t claim_version = 0;  // 0: nobody holds it
     Claim claim;
     std::map<int, Chunk> chunks;
     Roster roster;
+    std::unordered_map<std::string, int> chunk_of;  // of its machines, as stored
+    Use use;
+    bool sync_due = false;  // the roster changed
     uint64_t progress_version = 0;
     Progress progress;
     // Ownership.
@@ -97,6 +106,8 @@
     Micros progress_at = 0;
     bool progress_dirty = false;
     uint32_t batch = 0;
+    int window_at = 0;      // the chunk whose turn it is
+    int narrow = 0;         // rounds that decide little, after one that did not fit
     double peak = 0;        // of the cpus that arrays wanted, and when it was
     double array_peak = 0;  // the same, faded
     Micros peak_at = 0;
@@ -108,7 +119,9 @@
   void StartWatch(Micros now);
   void ApplyPut(Micros now, const std::string& key, const std::string& value, uint64_t version);
   void ApplyErase(Micros now, const std::string& key, uint64_t version);
-  void RebuildRoster(Micros now, int part);
+  void ApplyChunk(Micros now, int part, int chunk, const std::string& value, uint64_t version);
+  // Once a batch of changes has been applied.
+  void SettleRosters(Micros now);
   void DropFinishedSpec(JobEntry* entry);
   int PartOfMachine(const std::string& name) const;
 
@@ -247,6 +260,7 @@
   void Probe(Micros now, int part, const std::string& machine);
   uint64_t TokenOf(int part, const MachineInfo& info) const;
   void StopAttempt(Micros now, const Attempt& attempt, AttemptInfo* info, Micros grace);
+  void StopJob(Micros now, const std::string& job);
   bool JobOver(const std::string& job) const;  // cancelled or done
   void Touch(int part) { parts_[static_cast<size_t>(part)].dirty = true; }
   void TouchImage(MachineInfo* info, const std::string& type, const std::string& image, double gb,
@@ -263,11 +277,13 @@
     std::vector<Micros> durations;
     std::set<int> moved;     // tasks that were moved to steady machines once
     Micros unmet_since = 0;  // waits without a machine since then
+    Micros move_at = 0;      // when it may look for another part again
   };
   enum : uint8_t { kWaiting = 0, kPlaced = 1, kDone = 2 };
   JobRun* RunOf(const std::string& job);
   void LoadRun(int part, const std::string& id, const JobEntry& entry);
   void SyncPart(Micros now, int part);
+  Micros RoundPace(const Part& p) const;
   void RunRounds(Micros now);
   void Round(Micros now, int part);
   struct Offer {
@@ -275,6 +291,10 @@
     std::string zone;
   };
   struct Draft;
+  void ChooseWindow(Part* p, Draft* draft) const;
+  static void Withdraw(Draft* draft, const JobSpec& spec, size_t begun);
+  static std::string ShapeOf(const JobSpec& spec);
+  void LookElsewhere(Micros now, int part, Draft* draft) const;
   void DraftRemovals(Micros now, int part, Draft* draft);
   void DraftFleet(Micros now, int part, Draft* draft);
   void DraftTail(Micros now, int part, Draft* draft);
@@ -288,13 +308,13 @@
   std::vector<PlaceMachine> Snapshot(Micros now, int part, const Roster& roster) const;
   PlaceMachine SnapshotMachine(Micros now, int part, const RosterMachine& machine) const;
   bool Usable(Micros now, const RosterMachine& machine, const MachineInfo& info) const;
-  Share UsedBy(const Roster& roster, const std::string& team, bool skip_gone) const;
+  Use UseOf(const Roster& roster, bool skip_gone) const;
   int64_t SteadyHeadroom(int part) const;
   bool SpreadServices(int part) const;
   // The last moment at which the rest of a job may start and still be in time.
   Micros LatestStart(const JobRecord& record) const;
-  bool LastOfZone(const Draft& draft, const std::string& machine) const;
-  bool LastWarm(const Draft& draft, const std::string& machine) const;
+  bool LastOfZone(const Draft& draft, const PlaceMachine& m) const;
+  bool LastWarm(const Draft& draft, const PlaceMachine& m) const;
   void Consolidate(Micros now, int part, Draft* draft);
   void DraftMoves(Micros now, int part, Draft* draft);
   uint64_t NextNumber(int part, Draft* draft) const;
@@ -315,7 +335,8 @@
   const MachineType* TypeOf(const std::string& name) const;
   // The cheapest type and zone of a kind that fits `each` and is not paused.
   bool PickOffer(Micros now, const JobSpec& spec, const JobSpread& spread, bool spot,
-                 const Roster& roster, Offer* offer) const;
+                 const std::map<std::string, int>& in_zone, Offer* offer) const;
+  static std::map<std::string, int> InZones(const Roster& roster);
 
   // --- plumbing (core.cc) --------------------------------------------------------------
   using Handler = std::function<void(Micros now, int status, const std::string& body)>;
@@ -342,13 +363,18 @@
   bool synced_ = false;
   bool listing_ = false;
   uint64_t list_revision_ = 0;
-  std::map<std::string, Chunk> list_items_;
+  struct ListItem {
+    std::string value;
+    uint64_t version = 0;
+  };
+  std::map<std::string, ListItem> list_items_;
   uint64_t watch_revision_ = 0;
   bool watching_ = false;
   Micros watch_retry_ = 0;
   Micros view_at_ = 0;   // the view holds every change made before this time
   Micros state_ok_ = 0;  // last answer of the state service
   std::unordered_map<std::string, JobEntry> jobs_;
+  std::set<std::string> open_jobs_;
   bool spread_seen_ = false;  // some service spreads over zones
   std::set<std::string> service_images_;
   std::set<std::string> service_teams_;  // that ever had a service
--- a/src/core/draft.h
+++ b/src/core/draft.h
@@ -21,6 +21,13 @@
   Roster roster;                 // the part's own, as it is to become
   std::map<int, Roster> others;  // those of other parts that change with it
   std::vector<PlaceMachine> machines;
+  PlaceIndex index;      // over them
+  Use use;               // of the part's attempts that are not gone
+  int64_t headroom = 0;  // cpus kept free for services
+  std::set<int> window;  // chunks that this round may change; empty: all
+  // Free machines of other parts, found when first needed.
+  bool looked_elsewhere = false;
+  std::vector<std::pair<int, std::string>> elsewhere;
   std::map<std::string, JobSpread> spreads;
   std::vector<std::pair<std::string, Attempt>> started;  // by machine
   std::set<std::string> jobs;                            // whose records must not have changed
@@ -35,11 +42,32 @@
   bool progress = false;
   bool fence = false;
 
-  JobSpread& SpreadOf(const std::string& job) {
-    auto [it, fresh] = spreads.try_emplace(job);
-    if (fresh) {
+  bool MayChange(const std::string& machine) const {
+    return window.empty() || window.count(ChunkOf(machine, roster.chunks)) != 0;
+  }
+  // Room on a machine is taken (or, with -1, given back).
+  void Occupy(PlaceMachine* m, const JobSpec& spec, int n) {
+    JobSpread& spread = SpreadOf(spec);
+    index.Remove(*m);
+    if (n > 0) {
+      m->free -= spec.each;
+    } else {
+      m->free += spec.each;
+    }
+    m->tasks[spec.id] += n;
+    index.Add(m);
+    Share& used = use.teams[spec.team];
+    used.cpus += n * spec.each.cpus;
+    used.gpus += n * spec.each.gpus;
+    spread.by_zone[m->zone] += n;
+  }
+
+  // Where a job's tasks are; known only of jobs whose zones depend on it.
+  JobSpread& SpreadOf(const JobSpec& spec) {
+    auto [it, fresh] = spreads.try_emplace(spec.id);
+    if (fresh && (spec.spread || spec.one_zone)) {
       for (const PlaceMachine& m : machines) {
-        auto t = m.tasks.find(job);
+        auto t = m.tasks.find(spec.id);
         if (t != m.tasks.end()) it->second.by_zone[m.zone] += t->second;
       }
     }
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -16,6 +16,7 @@
 // Room in a zone, in thousandths of cpus, that counts as having a place there.
 constexpr int64_t kZoneRoom = 4000;
 constexpr int kMostPerRental = 50;
+constexpr size_t kMostHires = 6;  // of a part, unanswered
 constexpr int kPageLimit = 500;
 
 std::string OfferKey(const std::string& type, const std::string& zone, bool spot) {
@@ -42,7 +43,7 @@
 }
 
 bool Core::PickOffer(Micros now, const JobSpec& spec, const JobSpread& spread, bool spot,
-                     const Roster& roster, Offer* offer) const {
+                     const std::map<std::string, int>& in_zone, Offer* offer) const {
   double best = 0;
   bool found = false;
   for (const MachineType& t : types_) {
@@ -59,9 +60,8 @@
       if (!Allowed(spec, spread, probe)) continue;
       double cost = (spot ? t.spot_price : t.price) / std::min(per, 64);
       // Evenly over the zones, where it costs nothing.
-      int have = 0;
-      for (const auto& [name, m] : roster.machines) have += m.zone == zone ? 1 : 0;
-      cost *= 1.0 + 0.001 * have;
+      auto have = in_zone.find(zone);
+      if (have != in_zone.end()) cost *= 1.0 + 0.001 * have->second;
       if (!found || cost < best) {
         found = true;
         best = cost;
@@ -73,6 +73,12 @@
   return found;
 }
 
+std::map<std::string, int> Core::InZones(const Roster& roster) {
+  std::map<std::string, int> out;
+  for (const auto& [name, m] : roster.machines) ++out[m.zone];
+  return out;
+}
+
 void Core::AddHire(int part, Draft* draft, const Offer& offer, bool spot, int count,
                    const std::string& helps, const std::string& reason) {
   Hire hire;
@@ -100,8 +106,13 @@
       ++it;
       continue;
     }
+    bool all = true;
     for (const std::string& name : state->second.machines) {
       if (PartOfMachine(name) >= 0) continue;
+      if (!draft->MayChange(name)) {
+        all = false;  // in a later round; until then the rental stays on record
+        continue;
+      }
       RosterMachine m;
       m.name = name;
       m.type = it->second.ask.type;
@@ -112,7 +123,7 @@
       if (known != unknown_.end()) m.addr = known->second.addr;
       draft->roster.machines[name] = std::move(m);
     }
-    it = draft->roster.hires.erase(it);
+    it = all ? draft->roster.hires.erase(it) : std::next(it);
     draft->urgent = true;
   }
   // Machines that nobody has in a roster, by hash of their names. The commit is
@@ -131,7 +142,7 @@
                    const std::string& zone, bool spot) {
     if (static_cast<int>(StableHash(name) % parts_.size()) != part) return;
     if (PartOfMachine(name) >= 0 || draft->roster.machines.count(name) != 0) return;
-    if (departed_.count(name) != 0) return;
+    if (departed_.count(name) != 0 || !draft->MayChange(name)) return;
     if (wanted(type, zone, spot)) return;  // may be the answer to come
     RosterMachine m;
     m.name = name;
@@ -166,7 +177,7 @@
 }
 
 void Core::DraftFleet(Micros now, int part, Draft* draft) {
-  if (draft->hires.size() + draft->roster.hires.size() >= 4) return;
+  if (draft->roster.hires.size() >= kMostHires) return;
   // Room that is on its way: machines that boot, and rentals under way.
   struct Coming {
     std::string type, zone, helps;
@@ -194,7 +205,24 @@
     if (!m.usable || !m.helps.empty()) continue;
     (m.spot ? spot_free : steady_free) += std::max<int64_t>(0, m.free.cpus) + (m.spot ? 0 : m.soft);
   }
-  const int64_t headroom = SteadyHeadroom(part);
+  const int64_t headroom = draft->headroom;
+  // What is rented is added up over the jobs: few calls, of many machines each.
+  std::map<std::string, int> in_zone = InZones(draft->roster);
+  struct Want {
+    Offer offer;
+    bool spot = false;
+    int count = 0;
+    std::string reason;
+  };
+  std::map<std::string, Want> wants;
+  auto want = [&](const Offer& offer, bool spot, int count, const std::string& reason) {
+    Want& w = wants[OfferKey(offer.type->name, offer.zone, spot)];
+    w.offer = offer;
+    w.spot = spot;
+    w.count += count;
+    if (w.reason.empty()) w.reason = reason;
+    in_zone[offer.zone] += count;
+  };
   double array_cpus = 0, ahead = 0;
   for (const PlaceMachine& m : draft->machines) {
     if (m.usable && m.spot) array_cpus += static_cast<double>(m.size.cpus) / 1000;
@@ -205,7 +233,7 @@
   for (const Draft::Unmet& u : draft->unmet) {
     const JobSpec& spec = *u.spec;
     ahead += static_cast<double>(u.tasks * spec.each.cpus) / 1000 * ToSeconds(spec.estimate);
-    JobSpread spread = draft->SpreadOf(spec.id);
+    JobSpread spread = draft->SpreadOf(spec);
     double share = spec.kind == JobKind::kService ? 1.0 : s_.op.rent_share();
     int left = static_cast<int>(std::ceil(u.tasks * share));
     // Beyond its team's limit a job has no use for machines.
@@ -229,8 +257,8 @@
     }
     if (left <= 0) continue;
     Offer offer;
-    bool spot = spec.spot && !u.tail && PickOffer(now, spec, spread, true, draft->roster, &offer);
-    if (!spot && !PickOffer(now, spec, spread, false, draft->roster, &offer)) continue;
+    bool spot = spec.spot && !u.tail && PickOffer(now, spec, spread, true, in_zone, &offer);
+    if (!spot && !PickOffer(now, spec, spread, false, in_zone, &offer)) continue;
     if (!spot && spec.spot && spec.kind == JobKind::kArray && !u.tail) {
       // Steady machines cost several times as much: only for what would be late
       // if it waited for its turn on those that are there.
@@ -251,8 +279,7 @@
     int per = TasksPer(spec, *offer.type);
     int machines = (left + per - 1) / per;
     if (spec.spread) machines = std::min(machines, SpreadLimit(spec));
-    if (draft->hires.size() + draft->roster.hires.size() >= 4) return;
-    AddHire(part, draft, offer, spot, machines, "", spec.id);
+    want(offer, spot, machines, spec.id);
     for (int i = 0; i < machines; ++i) {
       Amount free = offer.type->size;
       for (int k = 0; k < per && left > 0; ++k, --left) free -= spec.each;
@@ -287,8 +314,8 @@
       JobSpread taken;
       for (const std::string& zone : zones) taken.by_zone[zone] = 1;
       Offer offer;
-      if (PickOffer(now, service, taken, false, draft->roster, &offer)) {
-        AddHire(part, draft, offer, false, 1, "", "a second zone");
+      if (PickOffer(now, service, taken, false, in_zone, &offer)) {
+        want(offer, false, 1, "a second zone");
         steady_free += offer.type->size.cpus;
       }
     }
@@ -297,53 +324,46 @@
     JobSpec service;
     service.each.cpus = kMilli;
     Offer offer;
-    if (PickOffer(now, service, JobSpread(), false, draft->roster, &offer)) {
+    if (PickOffer(now, service, JobSpread(), false, in_zone, &offer)) {
       int64_t n = (headroom - steady_free + offer.type->size.cpus - 1) / offer.type->size.cpus;
-      AddHire(part, draft, offer, false, static_cast<int>(n), "", "headroom");
+      want(offer, false, static_cast<int>(n), "headroom");
+    }
+  }
+  for (const auto& [key, w] : wants) {
+    for (int left = w.count; left > 0 && draft->roster.hires.size() < kMostHires;
+         left -= kMostPerRental) {
+      AddHire(part, draft, w.offer, w.spot, left, "", w.reason);
     }
   }
 }
 
 // Whether services that spread would miss this machine's zone.
-bool Core::LastOfZone(const Draft& draft, const std::string& machine) const {
+bool Core::LastOfZone(const Draft& draft, const PlaceMachine& m) const {
   if (!spread_seen_ || s_.zones.size() < 2) return false;
-  std::string zone;
-  std::map<std::string, int64_t> others;
-  for (const PlaceMachine& m : draft.machines) {
-    if (m.spot || !m.helps.empty()) continue;
-    if (m.name == machine) {
-      zone = m.zone;
-    } else if (m.usable) {
-      others[m.zone] += std::max<int64_t>(0, m.free.cpus) + m.soft;
-    }
-  }
+  std::map<std::string, int64_t> others = draft.index.RoomByZone(&m);
   int zones = 0;
   for (const auto& [z, cpus] : others) zones += cpus >= kZoneRoom ? 1 : 0;
-  return zones < 2 && others[zone] < kZoneRoom;
+  return zones < 2 && others[m.zone] < kZoneRoom;
 }
 
 // Whether without this machine too little room is left where some service's
 // image is.
-bool Core::LastWarm(const Draft& draft, const std::string& machine) const {
+bool Core::LastWarm(const Draft& draft, const PlaceMachine& m) const {
   const auto keep = static_cast<int64_t>(1000 * s_.op.image_headroom_cpus());
-  for (const PlaceMachine& m : draft.machines) {
-    if (m.name != machine) continue;
-    for (const std::string& image : draft.service_images) {
-      if (m.images.count(image) == 0) continue;
-      if (WarmFree(draft.machines, image, machine) < keep) return true;
-      if (!spread_seen_ || s_.zones.size() < 2) continue;
-      // Services that spread start at once only where two zones have it.
-      std::map<std::string, int64_t> others;
-      for (const PlaceMachine& o : draft.machines) {
-        if (o.spot || !o.usable || !o.helps.empty() || o.name == machine) continue;
-        if (o.images.count(image) != 0) {
-          others[o.zone] += std::max<int64_t>(0, o.free.cpus) + o.soft;
-        }
-      }
-      int zones = 0;
-      for (const auto& [z, cpus] : others) zones += cpus >= kZoneRoom ? 1 : 0;
-      if (zones < 2 && others[m.zone] < kZoneRoom) return true;
+  const int64_t own = m.usable ? std::max<int64_t>(0, m.free.cpus) + m.soft : 0;
+  for (int image : m.warm) {
+    const PlaceIndex::Warm& warm = draft.index.warm(image);
+    if (warm.free - own < keep) return true;
+    if (!spread_seen_ || s_.zones.size() < 2) continue;
+    // Services that spread start at once only where two zones have it.
+    int zones = 0;
+    bool here = false;
+    for (const auto& [zone, cpus] : warm.by_zone) {
+      bool room = cpus - (zone == m.zone ? own : 0) >= kZoneRoom;
+      zones += room ? 1 : 0;
+      here = here || (room && zone == m.zone);
     }
+    if (zones < 2 && !here) return true;
   }
   return false;
 }
@@ -355,11 +375,14 @@
     if (!m.usable || !m.helps.empty()) continue;
     (m.spot ? spot_free : steady_free) += std::max<int64_t>(0, m.free.cpus) + (m.spot ? 0 : m.soft);
   }
-  const int64_t headroom = SteadyHeadroom(part);
+  const int64_t headroom = draft->headroom;
+  std::map<std::string, const PlaceMachine*> placed;
+  for (const PlaceMachine& m : draft->machines) placed[m.name] = &m;
   const auto spare = static_cast<int64_t>(s_.op.array_headroom_share() * p.array_peak);
   for (auto& [name, m] : draft->roster.machines) {
-    if (m.leaving) continue;
+    if (m.leaving || !draft->MayChange(name)) continue;
     auto it = machines_.find(name);
+    auto on = placed.find(name);
     const MachineType* type = TypeOf(m.type);
     if (it == machines_.end() || type == nullptr) continue;
     MachineInfo& info = it->second;
@@ -391,11 +414,18 @@
           spot_free -= type->size.cpus;
           m.leaving = true;
         }
-      } else if (!LastOfZone(*draft, name) && !LastWarm(*draft, name) &&
+      } else if (on != placed.end() && !LastOfZone(*draft, *on->second) &&
+                 !LastWarm(*draft, *on->second) &&
                  steady_free - type->size.cpus >=
                      headroom + std::max<int64_t>(0, spare - spot_free)) {
         steady_free -= type->size.cpus;
         m.leaving = true;
+        // The next one is judged without it.
+        for (PlaceMachine& gone : draft->machines) {
+          if (gone.name != name) continue;
+          draft->index.Remove(gone);
+          gone.usable = false;
+        }
       }
     }
     if (m.leaving) draft->urgent = true;
@@ -423,7 +453,7 @@
       steady_free += std::max<int64_t>(0, m.free.cpus) + m.soft;
     }
   }
-  const int64_t headroom = SteadyHeadroom(part);
+  const int64_t headroom = draft->headroom;
   // The one being cleared goes first, else the one with least on it.
   const PlaceMachine* best = nullptr;
   int64_t best_used = 0;
@@ -434,7 +464,7 @@
     const MachineType* type = TypeOf(m.type);
     if (type == nullptr) continue;
     if (used <= 0 || (!info.drain && 2 * used > m.size.cpus)) continue;
-    if (!info.drain && (LastOfZone(*draft, m.name) || LastWarm(*draft, m.name))) continue;
+    if (!info.drain && (LastOfZone(*draft, m) || LastWarm(*draft, m))) continue;
     if (!info.drain && steady_free - m.free.cpus - used < headroom) continue;
     // What it saves for each cpu that moves.
     used =
@@ -452,6 +482,11 @@
   for (const PlaceMachine& m : draft->machines) {
     if (m.name != best->name && m.usable && !m.spot) others.push_back(m);
   }
+  std::set<std::string> images;
+  for (const PlaceMachine& m : others) {
+    for (const auto& [image, cached] : m.images) images.insert(image);
+  }
+  PlaceIndex index(images, &others);
   std::vector<std::pair<Attempt, AttemptInfo*>> moves;
   bool settled = true;
   for (const Attempt& a : draft->roster.machines[best->name].attempts) {
@@ -464,12 +499,12 @@
     if (spec.kind != JobKind::kService) return;  // will be over by itself
     // A start that is stopped soon was no start.
     if (at->second.running_at == 0 || now - at->second.running_at < 40 * kSecond) return;
-    JobSpread spread = draft->SpreadOf(spec.id);
+    JobSpread spread = draft->SpreadOf(spec);
     --spread.by_zone[best->zone];
     PlaceRequest request;
     request.spec = &spec;
     request.spread = &spread;
-    int to = ChooseMachine(request, others);
+    int to = ChooseMachine(request, others, index);
     if (to < 0) return;
     PlaceMachine& target = others[static_cast<size_t>(to)];
     auto image = target.images.find(spec.image);
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -93,9 +93,7 @@
     if (!heard_cancels_.insert(id).second) continue;
     // Our view may lag, or we may be cut off from the state service: the tasks
     // must end all the same.
-    for (auto& [attempt, info] : attempts_) {
-      if (attempt.job == id && !info.gone) StopAttempt(now, attempt, &info, 0);
-    }
+    StopJob(now, id);
   }
   for (const mesh::Warm& w : gossip.warm) {
     int part = PartOfMachine(w.machine);
@@ -211,6 +209,7 @@
          if (reply) state_ok_ = t;
          if (status == 200 && reply) {
            for (const StateWrite& w : txn.writes) ApplyPut(t, w.key, w.value, reply->revision);
+           SettleRosters(t);
            if (!q.mine) OnClaimed(t, part, reply->revision);
          } else {
            q.no_claim_before = t + 100 * kMilli;
@@ -253,10 +252,9 @@
     free_since_.erase(name);
   }
   for (const auto& [id, hire] : p.roster.hires) hires_.erase(id);
-  for (const auto& [id, entry] : jobs_) {
-    if (entry.record.part == part && entry.record.state == JobState::kOpen) {
-      LoadRun(part, id, entry);
-    }
+  for (const std::string& id : open_jobs_) {
+    const JobEntry& entry = jobs_.at(id);
+    if (entry.record.part == part) LoadRun(part, id, entry);
   }
   SyncPart(now, part);
   Touch(part);
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -27,30 +27,60 @@
   return true;
 }
 
-int64_t WarmFree(const std::vector<PlaceMachine>& machines, const std::string& image,
-                 const std::string& except) {
-  int64_t free = 0;
-  for (const PlaceMachine& m : machines) {
-    if (!m.usable || m.spot || m.name == except || !m.helps.empty()) continue;
-    if (m.images.count(image) != 0) free += std::max<int64_t>(0, m.free.cpus) + m.soft;
+PlaceIndex::PlaceIndex(const std::set<std::string>& service_images,
+                       std::vector<PlaceMachine>* machines) {
+  for (const std::string& image : service_images) {
+    number_.emplace(image, static_cast<int>(number_.size()));
   }
-  return free;
+  warm_.resize(number_.size());
+  for (PlaceMachine& m : *machines) Add(&m);
 }
 
-int ChooseMachine(const PlaceRequest& r, const std::vector<PlaceMachine>& machines) {
+void PlaceIndex::Name(PlaceMachine* m) const {
+  m->warm.clear();
+  if (m->spot) return;
+  for (const auto& [image, cached] : m->images) {
+    auto it = number_.find(image);
+    if (it != number_.end()) m->warm.push_back(it->second);
+  }
+}
+
+void PlaceIndex::Count(const PlaceMachine& m, int64_t sign) {
+  if (!m.usable || m.spot) return;
+  const int64_t free = sign * std::max<int64_t>(0, m.free.cpus);
+  steady_free_ += free;
+  zone_free_[m.zone] += free;
+  if (!m.helps.empty()) return;
+  const int64_t room = free + sign * m.soft;
+  room_[m.zone] += room;
+  for (int i : m.warm) {
+    Warm& w = warm_[static_cast<size_t>(i)];
+    w.free += room;
+    w.by_zone[m.zone] += room;
+  }
+}
+
+int64_t PlaceIndex::ZoneFree(const std::string& zone) const {
+  auto it = zone_free_.find(zone);
+  return it == zone_free_.end() ? 0 : it->second;
+}
+
+std::map<std::string, int64_t> PlaceIndex::RoomByZone(const PlaceMachine* except) const {
+  std::map<std::string, int64_t> out = room_;
+  if (except != nullptr && except->usable && !except->spot && except->helps.empty()) {
+    out[except->zone] -= std::max<int64_t>(0, except->free.cpus) + except->soft;
+  }
+  return out;
+}
+
+int ChooseMachine(const PlaceRequest& r, const std::vector<PlaceMachine>& machines,
+                  const PlaceIndex& index) {
   const JobSpec& spec = *r.spec;
   const bool service = spec.kind == JobKind::kService;
-  int64_t steady_free = 0;
-  std::map<std::string, int64_t> zone_free;
-  for (const PlaceMachine& m : machines) {
-    if (!m.usable || m.spot) continue;
-    steady_free += std::max<int64_t>(0, m.free.cpus);
-    if (r.zone_headroom > 0) zone_free[m.zone] += std::max<int64_t>(0, m.free.cpus);
-  }
-  std::map<std::string, int64_t> warm_free;
   // Work that saves nothing is stopped within moments: it may use the room that
   // is kept for services, and makes way for them.
   const bool soft = spec.checkpoint == 0;
+  const bool keeps_room = !service && !soft && !r.tail && spec.priority != Priority::kProduction;
   int best = -1;
   double best_score = 0;
   for (size_t i = 0; i < machines.size(); ++i) {
@@ -59,23 +89,11 @@
     if (!m.helps.empty() && m.helps != spec.id) continue;
     if (r.avoid != nullptr && *r.avoid == m.name) continue;
     if (!Allowed(spec, *r.spread, m)) continue;
-    if (!service && !soft && !m.spot && !r.tail && spec.priority != Priority::kProduction &&
-        (steady_free - spec.each.cpus < r.steady_headroom ||
-         (r.zone_headroom > 0 && zone_free[m.zone] - spec.each.cpus < r.zone_headroom))) {
+    if (keeps_room && !m.spot &&
+        (index.steady_free() - spec.each.cpus < r.steady_headroom ||
+         (r.zone_headroom > 0 && index.ZoneFree(m.zone) - spec.each.cpus < r.zone_headroom))) {
       continue;
     }
-    if (!service && !soft && !m.spot && r.service_images != nullptr && r.image_headroom > 0 &&
-        !r.tail && spec.priority != Priority::kProduction) {
-      // A service starts at once only where its image is: room there is kept.
-      bool keeps = true;
-      for (const std::string& image : *r.service_images) {
-        if (m.images.count(image) == 0) continue;
-        auto [warm, fresh] = warm_free.try_emplace(image, 0);
-        if (fresh) warm->second = WarmFree(machines, image, "");
-        keeps = keeps && warm->second - spec.each.cpus >= r.image_headroom;
-      }
-      if (!keeps) continue;
-    }
     // Seconds until the task can run there: its image, and fetches sharing the link.
     double score = 0;
     auto image = m.images.find(spec.image);
@@ -101,10 +119,16 @@
     // Pack: prefer the machine with least left over, so that others get empty.
     score += 0.5 * static_cast<double>(m.free.cpus - spec.each.cpus) /
              static_cast<double>(std::max<int64_t>(1, m.size.cpus));
-    if (best < 0 || score < best_score) {
-      best = static_cast<int>(i);
-      best_score = score;
+    if (best >= 0 && score >= best_score) continue;
+    if (keeps_room && !m.spot && r.image_headroom > 0) {
+      // A service starts at once only where its image is: room there is kept.
+      bool keeps = std::all_of(m.warm.begin(), m.warm.end(), [&](int image) {
+        return index.warm(image).free - spec.each.cpus >= r.image_headroom;
+      });
+      if (!keeps) continue;
     }
+    best = static_cast<int>(i);
+    best_score = score;
   }
   return best;
 }
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/records.h"
@@ -29,6 +30,45 @@
   int fetching = 0;
   // Tasks of each job that are or may be here.
   std::map<std::string, int> tasks;
+  std::vector<int> warm;  // service images that it has, as the index numbers them
+};
+
+// Sums over the machines of a round, kept as machines change, so that a choice
+// does not add them all up again.
+class PlaceIndex {
+ public:
+  struct Warm {
+    int64_t free = 0;  // cpus on usable steady machines that have the image
+    std::map<std::string, int64_t> by_zone;
+  };
+
+  PlaceIndex() = default;
+  // `service_images` are those of all services that run.
+  PlaceIndex(const std::set<std::string>& service_images, std::vector<PlaceMachine>* machines);
+
+  // Around every change of a machine.
+  void Remove(const PlaceMachine& m) { Count(m, -1); }
+  void Add(PlaceMachine* m) {
+    Name(m);
+    Count(*m, 1);
+  }
+
+  int64_t steady_free() const { return steady_free_; }
+  int64_t ZoneFree(const std::string& zone) const;
+  // Free cpus on steady machines that are nobody's helpers, by zone; `except`
+  // left out.
+  std::map<std::string, int64_t> RoomByZone(const PlaceMachine* except) const;
+  const Warm& warm(int image) const { return warm_[static_cast<size_t>(image)]; }
+
+ private:
+  void Name(PlaceMachine* m) const;
+  void Count(const PlaceMachine& m, int64_t sign);
+
+  int64_t steady_free_ = 0;
+  std::map<std::string, int64_t> zone_free_;
+  std::map<std::string, int64_t> room_;
+  std::unordered_map<std::string, int> number_;
+  std::vector<Warm> warm_;
 };
 
 // Where tasks of one job are or may be, over all machines.
@@ -39,12 +79,10 @@
 struct PlaceRequest {
   const JobSpec* spec = nullptr;
   const JobSpread* spread = nullptr;
-  bool tail = false;            // prefers steady machines, may use headroom
-  int64_t steady_headroom = 0;  // cpus to leave free on steady machines
-  int64_t zone_headroom = 0;    // the same in each zone, for services that spread
-  // Images of services, and the cpus that stay free where each of them is.
-  const std::set<std::string>* service_images = nullptr;
-  int64_t image_headroom = 0;
+  bool tail = false;                   // prefers steady machines, may use headroom
+  int64_t steady_headroom = 0;         // cpus to leave free on steady machines
+  int64_t zone_headroom = 0;           // the same in each zone, for services that spread
+  int64_t image_headroom = 0;          // the same where each service's image is
   const std::string* avoid = nullptr;  // a machine to keep away from
 };
 
@@ -56,12 +94,9 @@
 // At most this many tasks of a spread job may be in one zone.
 int SpreadLimit(const JobSpec& spec);
 
-// Free cpus on usable steady machines that have the image, `except` left out.
-int64_t WarmFree(const std::vector<PlaceMachine>& machines, const std::string& image,
-                 const std::string& except);
-
 // Index of the best machine, or -1.
-int ChooseMachine(const PlaceRequest& request, const std::vector<PlaceMachine>& machines);
+int ChooseMachine(const PlaceRequest& request, const std::vector<PlaceMachine>& machines,
+                  const PlaceIndex& index);
 
 }  // namespace troutlink
 
--- a/src/core/records.cc
+++ b/src/core/records.cc
@@ -1,7 +1,9 @@
 #include "core/records.h"
 
+#include <bit>
 #include <charconv>
 
+#include "base/digits.h"
 #include "base/ids.h"
 #include "wire/messages.h"
 #include "wire/pack.h"
@@ -11,6 +13,8 @@
 
 using wire::Json;
 
+constexpr uint64_t kMostTaskNumber = 100000;
+
 int ToInt(std::string_view s) {
   int v = -1;
   auto r = std::from_chars(s.data(), s.data() + s.size(), v);
@@ -53,31 +57,54 @@
 }
 
 std::string EncodeJob(const JobRecord& job) {
-  // The specification is kept in the form in which users send it.
-  Json spec = wire::Unpack(wire::EncodeSubmission(job.spec)).value_or(Json());
-  return wire::Pack(Json{{"spec", std::move(spec)},
-                         {"part", job.part},
-                         {"state", static_cast<int>(job.state)},
-                         {"submitted", job.submitted},
-                         {"moves", job.moves}});
+  Json out = {{"part", job.part}, {"state", static_cast<int>(job.state)}};
+  if (job.state == JobState::kOpen) {
+    // The specification is kept in the form in which users send it.
+    out["spec"] = wire::EncodeSpec(job.spec);
+    out["submitted"] = job.submitted;
+    out["moves"] = job.moves;
+    return wire::Pack(out);
+  }
+  // Final states are kept for ever, so they are kept small: what is needed to
+  // answer, and to count its tasks that may still be on machines.
+  const JobSpec& s = job.spec;
+  out["end"] = Json::array({s.id, s.tasks, static_cast<int>(s.kind), s.team, s.each.cpus,
+                            s.each.gpus, s.each.memory, s.save, s.checkpoint});
+  return wire::Pack(out);
 }
 
 std::optional<JobRecord> DecodeJob(std::string_view value) {
   std::optional<Json> doc = wire::Unpack(value);
   if (!doc) return std::nullopt;
-  const Json* spec = wire::Find(*doc, "spec");
   std::optional<uint64_t> part = wire::Count(*doc, "part"), state = wire::Count(*doc, "state"),
                           submitted = wire::Count(*doc, "submitted");
-  if (spec == nullptr || !part || !state || *state > 2) return std::nullopt;
-  std::string why;
-  std::optional<JobSpec> parsed = wire::DecodeSubmission(wire::Pack(*spec), &why);
-  if (!parsed) return std::nullopt;
+  if (!part || !state || *state > 2) return std::nullopt;
   JobRecord job;
-  job.spec = std::move(*parsed);
   job.part = static_cast<int>(*part);
   job.state = static_cast<JobState>(*state);
-  job.submitted = static_cast<Micros>(submitted.value_or(0));
-  job.moves = static_cast<int>(wire::Count(*doc, "moves").value_or(0));
+  if (const Json* spec = wire::Find(*doc, "spec")) {
+    std::string why;
+    std::optional<JobSpec> parsed = wire::DecodeSpec(*spec, &why);
+    if (!parsed) return std::nullopt;
+    job.spec = std::move(*parsed);
+    job.submitted = static_cast<Micros>(submitted.value_or(0));
+    job.moves = static_cast<int>(wire::Count(*doc, "moves").value_or(0));
+    return job;
+  }
+  const Json* end = wire::Find(*doc, "end");
+  if (end == nullptr || job.state == JobState::kOpen) return std::nullopt;
+  try {
+    JobSpec& s = job.spec;
+    s.id = end->at(0).get<std::string>();
+    s.tasks = end->at(1).get<int>();
+    s.kind = static_cast<JobKind>(end->at(2).get<int>());
+    s.team = end->at(3).get<std::string>();
+    s.each = {end->at(4).get<int64_t>(), end->at(5).get<int64_t>(), end->at(6).get<int64_t>()};
+    s.save = end->at(7).get<Micros>();
+    s.checkpoint = end->at(8).get<Micros>();
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
   return job;
 }
 
@@ -93,27 +120,123 @@
 }
 
 int ChunkOf(const std::string& machine, int chunks) {
-  return chunks <= 1 ? 0 : static_cast<int>(StableHash(machine) % static_cast<uint64_t>(chunks));
+  if (chunks <= 1) return 0;
+  // Linear hashing: one more chunk splits one of them and leaves the others as
+  // they are, so that growth never rewrites a whole roster.
+  auto n = static_cast<uint64_t>(chunks), level = std::bit_floor(n);
+  uint64_t hash = StableHash(machine), chunk = hash & (2 * level - 1);
+  return static_cast<int>(chunk < n ? chunk : hash & (level - 1));
 }
 
-std::string EncodeChunk(const Roster& roster, int chunk) {
-  Json machines = Json::array();
+int SplitChunk(int chunks) {
+  auto n = static_cast<uint64_t>(chunks);
+  return static_cast<int>(n - std::bit_floor(n));
+}
+
+namespace {
+
+// Texts that many machines share are written once, in front.
+class Table {
+ public:
+  uint64_t Index(const std::string& text) {
+    auto [it, fresh] = index_.try_emplace(text, texts_.size());
+    if (fresh) texts_.push_back(text);
+    return it->second;
+  }
+  std::string Encode() const {
+    std::string out;
+    PutDigits(&out, texts_.size());
+    for (const std::string& t : texts_) PutTextDigits(&out, t);
+    return out;
+  }
+
+ private:
+  std::map<std::string, uint64_t> index_;
+  std::vector<std::string> texts_;
+};
+
+// Job ids without the prefix that all of them have.
+std::string_view ShortId(std::string_view id) { return id.substr(kJobPrefix.size()); }
+
+std::string EncodeMachines(const Roster& roster, int chunk) {
+  Table table;
+  std::string body;
+  uint64_t count = 0;
   for (const auto& [name, m] : roster.machines) {
     if (ChunkOf(name, roster.chunks) != chunk) continue;
-    // Attempts are grouped by job: [job, task, attempt, task, attempt, ...].
-    std::map<std::string, Json> by_job;
-    for (const Attempt& a : m.attempts) {
-      Json& list = by_job.try_emplace(a.job, Json::array({a.job})).first->second;
-      list.push_back(a.task);
-      list.push_back(a.number);
+    ++count;
+    PutTextDigits(&body, name);
+    PutTextDigits(&body, m.addr);
+    PutDigits(&body, table.Index(m.type));
+    PutDigits(&body, table.Index(m.zone));
+    PutDigits(&body, (m.spot ? 1u : 0u) + (m.leaving ? 2u : 0u) + (m.helps.empty() ? 0u : 4u));
+    if (!m.helps.empty()) PutTextDigits(&body, ShortId(m.helps));
+    // Attempts are grouped by job: id, number of them, task and attempt of each.
+    std::map<std::string_view, std::vector<const Attempt*>> by_job;
+    for (const Attempt& a : m.attempts) by_job[a.job].push_back(&a);
+    PutDigits(&body, by_job.size());
+    for (const auto& [job, list] : by_job) {
+      PutTextDigits(&body, ShortId(job));
+      PutDigits(&body, list.size());
+      for (const Attempt* a : list) {
+        PutDigits(&body, static_cast<uint64_t>(a->task));
+        PutDigits(&body, a->number);
+      }
     }
-    Json attempts = Json::array();
-    for (auto& [job, list] : by_job) attempts.push_back(std::move(list));
-    machines.push_back(
-        Json::array({name, m.addr, m.type, m.zone, (m.spot ? 1 : 0) + (m.leaving ? 2 : 0), m.helps,
-                     std::move(attempts)}));
   }
-  Json out = {{"m", std::move(machines)}};
+  std::string out = table.Encode();
+  PutDigits(&out, count);
+  return out + body;
+}
+
+bool DecodeMachines(std::string_view in, Roster* roster) {
+  uint64_t n = 0;
+  if (!GetDigits(&in, &n) || n > in.size()) return false;
+  std::vector<std::string> texts(n);
+  for (std::string& t : texts) {
+    if (!GetTextDigits(&in, &t)) return false;
+  }
+  if (!GetDigits(&in, &n) || n > in.size()) return false;
+  for (; n > 0; --n) {
+    RosterMachine m;
+    uint64_t type = 0, zone = 0, flags = 0, jobs = 0;
+    if (!GetTextDigits(&in, &m.name) || !GetTextDigits(&in, &m.addr) || !GetDigits(&in, &type) ||
+        !GetDigits(&in, &zone) || !GetDigits(&in, &flags) || type >= texts.size() ||
+        zone >= texts.size()) {
+      return false;
+    }
+    m.type = texts[type];
+    m.zone = texts[zone];
+    m.spot = (flags & 1) != 0;
+    m.leaving = (flags & 2) != 0;
+    std::string id;
+    if ((flags & 4) != 0) {
+      if (!GetTextDigits(&in, &id)) return false;
+      m.helps = std::string(kJobPrefix) + id;
+    }
+    if (!GetDigits(&in, &jobs) || jobs > in.size()) return false;
+    for (; jobs > 0; --jobs) {
+      uint64_t attempts = 0;
+      if (!GetTextDigits(&in, &id) || !GetDigits(&in, &attempts) || attempts > in.size()) {
+        return false;
+      }
+      const std::string job = std::string(kJobPrefix) + id;
+      for (; attempts > 0; --attempts) {
+        uint64_t task = 0, number = 0;
+        if (!GetDigits(&in, &task) || !GetDigits(&in, &number)) return false;
+        m.attempts.push_back({job, static_cast<int>(task), number});
+      }
+    }
+    std::string name = m.name;
+    roster->machines[name] = std::move(m);
+  }
+  return in.empty();
+}
+
+}  // namespace
+
+std::string EncodeChunk(const Roster& roster, int chunk) {
+  Json out = {{"m", EncodeMachines(roster, chunk)}};
   if (chunk == 0) {
     out["n"] = roster.chunks;
     out["next"] = roster.next_number;
@@ -134,25 +257,7 @@
   std::optional<Json> doc = wire::Unpack(value);
   if (!doc || !doc->is_object()) return false;
   try {
-    for (const Json& j : doc->at("m")) {
-      RosterMachine m;
-      m.name = j.at(0).get<std::string>();
-      m.addr = j.at(1).get<std::string>();
-      m.type = j.at(2).get<std::string>();
-      m.zone = j.at(3).get<std::string>();
-      int flags = j.at(4).get<int>();
-      m.spot = (flags & 1) != 0;
-      m.leaving = (flags & 2) != 0;
-      m.helps = j.at(5).get<std::string>();
-      for (const Json& list : j.at(6)) {
-        std::string job = list.at(0).get<std::string>();
-        for (size_t i = 1; i + 1 < list.size(); i += 2) {
-          m.attempts.push_back({job, list[i].get<int>(), list[i + 1].get<uint64_t>()});
-        }
-      }
-      std::string name = m.name;
-      roster->machines[name] = std::move(m);
-    }
+    if (!DecodeMachines(doc->at("m").get_ref<const std::string&>(), roster)) return false;
     if (chunk != 0) return true;
     roster->chunks = doc->at("n").get<int>();
     roster->next_number = doc->at("next").get<uint64_t>();
@@ -185,14 +290,15 @@
 std::string EncodeProgress(const Progress& progress) {
   Json out = Json::object();
   for (const auto& [job, done] : progress) {
-    // Runs of task numbers: [first, length, first, length, ...].
-    Json runs = Json::array();
-    auto it = done.begin();
-    while (it != done.end()) {
+    // Runs of task numbers: a gap, a length, a gap, a length, ...
+    std::string runs;
+    int at = 0;
+    for (auto it = done.begin(); it != done.end();) {
       int first = *it, length = 0;
       while (it != done.end() && *it == first + length) ++length, ++it;
-      runs.push_back(first);
-      runs.push_back(length);
+      PutDigits(&runs, static_cast<uint64_t>(first - at));
+      PutDigits(&runs, static_cast<uint64_t>(length));
+      at = first + length;
     }
     out[job] = std::move(runs);
   }
@@ -203,16 +309,19 @@
   std::optional<Json> doc = wire::Unpack(value);
   if (!doc || !doc->is_object()) return std::nullopt;
   Progress out;
-  try {
-    for (const auto& [job, runs] : doc->items()) {
-      for (size_t i = 0; i + 1 < runs.size(); i += 2) {
-        int first = runs[i].get<int>(), length = runs[i + 1].get<int>();
-        if (first < 0 || length < 0 || length > 100000) return std::nullopt;
-        for (int k = 0; k < length; ++k) out[job].insert(first + k);
+  for (const auto& [job, runs] : doc->items()) {
+    if (!runs.is_string()) return std::nullopt;
+    std::string_view in = runs.get_ref<const std::string&>();
+    std::set<int>& done = out[job];
+    for (uint64_t at = 0; !in.empty();) {
+      uint64_t gap = 0, length = 0;
+      if (!GetDigits(&in, &gap) || !GetDigits(&in, &length) || gap > kMostTaskNumber ||
+          length > kMostTaskNumber || at + gap + length > kMostTaskNumber) {
+        return std::nullopt;
       }
+      at += gap;
+      for (; length > 0; --length, ++at) done.insert(done.end(), static_cast<int>(at));
     }
-  } catch (const Json::exception&) {
-    return std::nullopt;
   }
   return out;
 }
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -99,9 +99,11 @@
   bool operator==(const Roster&) const = default;
 };
 
-// The record of chunk 0 holds everything but machines; machines are spread
-// over the chunks by hash of their names.
+// The record of chunk 0 also holds everything but machines; machines are spread
+// over the chunks by hash of their names, each chunk's as one text of varints.
 int ChunkOf(const std::string& machine, int chunks);
+// The chunk whose machines are divided when there is one more than `chunks`.
+int SplitChunk(int chunks);
 std::string EncodeChunk(const Roster& roster, int chunk);
 bool DecodeChunk(std::string_view value, int chunk, Roster* roster);
 // Size of a stored value as the state service counts it.
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -17,6 +17,38 @@
 constexpr Micros kIdleRound = 250 * kMilli;
 constexpr Micros kWholePatience = 500 * kMilli;
 constexpr Micros kTakeAfter = 1500 * kMilli;
+constexpr Micros kRoundPace = 15 * kMilli;
+constexpr Micros kPacePerItem = 100;  // a machine or a job
+constexpr Micros kMovePatience = 500 * kMilli;
+// A transaction's limit as the platform's protocol states it, with some room
+// left for its frame.
+constexpr int64_t kMostTxnBytes = 62 * 1024;
+constexpr int64_t kMostChunkBytes = 10 * 1024;
+constexpr int kMostChunksAtOnce = 5;
+constexpr int kMostChunks = 1024;
+// Chunks whose stored content differs between two states of a roster.
+std::set<int> ChangedChunks(const Roster& before, const Roster& after) {
+  std::set<int> out;
+  if (before.next_number != after.next_number || before.hires != after.hires ||
+      before.shares != after.shares || before.helps != after.helps) {
+    out.insert(0);
+  }
+  auto b = before.machines.begin();
+  auto a = after.machines.begin();
+  while (b != before.machines.end() || a != after.machines.end()) {
+    if (a == after.machines.end() || (b != before.machines.end() && b->first < a->first)) {
+      out.insert(ChunkOf((b++)->first, after.chunks));
+    } else if (b == before.machines.end() || a->first < b->first) {
+      out.insert(ChunkOf((a++)->first, after.chunks));
+    } else {
+      if (!(a->second == b->second)) out.insert(ChunkOf(a->first, after.chunks));
+      ++a;
+      ++b;
+    }
+  }
+  return out;
+}
+
 }  // namespace
 
 Core::JobRun* Core::RunOf(const std::string& job) {
@@ -154,21 +186,23 @@
   return out;
 }
 
-Share Core::UsedBy(const Roster& roster, const std::string& team, bool skip_gone) const {
-  Share used;
+Core::Use Core::UseOf(const Roster& roster, bool skip_gone) const {
+  Use use;
   for (const auto& [name, m] : roster.machines) {
     for (const Attempt& a : m.attempts) {
       if (skip_gone) {
         auto at = attempts_.find(a);
         if (at != attempts_.end() && at->second.gone) continue;
       }
+      ++use.jobs[a.job];
       const JobEntry* job = FindJob(a.job);
-      if (job == nullptr || job->record.spec.team != team) continue;
-      used.cpus += job->record.spec.each.cpus;
-      used.gpus += job->record.spec.each.gpus;
+      if (job == nullptr) continue;
+      Share& team = use.teams[job->record.spec.team];
+      team.cpus += job->record.spec.each.cpus;
+      team.gpus += job->record.spec.each.gpus;
     }
   }
-  return used;
+  return use;
 }
 
 int64_t Core::SteadyHeadroom(int part) const {
@@ -214,6 +248,13 @@
   return best;
 }
 
+// A round looks at all that a part has: the more that is, the further apart
+// rounds are, and the more each decides.
+Micros Core::RoundPace(const Part& p) const {
+  return kRoundPace +
+         kPacePerItem * static_cast<Micros>(p.roster.machines.size() + p.use.jobs.size());
+}
+
 void Core::RunRounds(Micros now) {
   for (int part = 0; part < s_.parts(); ++part) {
     Part& p = parts_[static_cast<size_t>(part)];
@@ -225,17 +266,28 @@
 
 void Core::Round(Micros now, int part) {
   Part& p = parts_[static_cast<size_t>(part)];
+  ++counters_.rounds;
   p.dirty = false;
   p.last_commit = now;
-  p.not_before = now + 15 * kMilli;
+  p.not_before = now + RoundPace(p);
   Draft draft;
   draft.roster = p.roster;
+  ChooseWindow(&p, &draft);
   DraftRemovals(now, part, &draft);
   draft.machines = Snapshot(now, part, draft.roster);
-  for (const auto& [id, entry] : jobs_) {
-    const JobSpec& spec = entry.record.spec;
-    if (entry.record.state == JobState::kOpen && spec.kind == JobKind::kService) {
-      draft.service_images.insert(spec.image);
+  draft.use = UseOf(draft.roster, true);
+  std::set<std::string> service_images;
+  for (const std::string& id : open_jobs_) {
+    const JobSpec& spec = jobs_.at(id).record.spec;
+    if (spec.kind == JobKind::kService) service_images.insert(spec.image);
+  }
+  draft.index = PlaceIndex(service_images, &draft.machines);
+  draft.headroom = SteadyHeadroom(part);
+  if (!draft.window.empty()) {
+    for (PlaceMachine& m : draft.machines) {
+      if (draft.MayChange(m.name)) continue;
+      draft.index.Remove(m);
+      m.usable = false;
     }
   }
   DraftAdoption(now, part, &draft);
@@ -256,10 +308,26 @@
   Commit(now, part, &draft);
 }
 
+// A transaction holds so many changes and so many bytes. A roster of more
+// chunks than that is changed a few chunks at a time, in turn.
+void Core::ChooseWindow(Part* p, Draft* draft) const {
+  const int most = p->narrow > 0 ? 1 : std::max(2, std::min(s_.txn_ops / 2, kMostChunksAtOnce) - 1);
+  if (p->narrow > 0) --p->narrow;
+  if (draft->roster.chunks <= most) return;
+  draft->window.insert(0);
+  for (int i = 0; i < most; ++i) draft->window.insert((p->window_at + i) % draft->roster.chunks);
+  p->window_at = (p->window_at + most) % draft->roster.chunks;
+  p->dirty = true;
+}
+
 void Core::DraftRemovals(Micros now, int part, Draft* draft) {
   (void)now;
   (void)part;
   for (auto it = draft->roster.machines.begin(); it != draft->roster.machines.end();) {
+    if (!draft->MayChange(it->first)) {
+      ++it;
+      continue;
+    }
     if (returned_.count(it->first) != 0) {
       it = draft->roster.machines.erase(it);
       continue;
@@ -283,6 +351,7 @@
 // A job of which nothing has started and that finds no room here goes to a part
 // that has it.
 void Core::DraftMoves(Micros now, int part, Draft* draft) {
+  int asked = 0;
   for (const Draft::Unmet& u : draft->unmet) {
     if (draft->moved.size() >= 3) break;
     const JobSpec& spec = *u.spec;
@@ -294,6 +363,9 @@
     if (job == nullptr || job->record.moves >= (spec.kind == JobKind::kService ? 2 : 6)) continue;
     Micros patience = spec.priority == Priority::kProduction ? 60 * kMilli : 1500 * kMilli;
     if (run->unmet_since == 0 || now - run->unmet_since < patience) continue;
+    // Looking at all parts costs: each job asks now and then, a few in a round.
+    if (now < run->move_at || ++asked > 4) continue;
+    run->move_at = now + kMovePatience;
     std::vector<Room> rooms = RoomsFor(spec);
     int best = -1;
     for (int q = 0; q < s_.parts(); ++q) {
@@ -305,8 +377,8 @@
     draft->moved[spec.id] = best;
     draft->urgent = true;
     draft->critical = draft->critical || spec.priority == Priority::kProduction;
-    Log(LogLine::Level::kDebug, "move " + spec.id + " from part " + std::to_string(part) + " to " +
-                                    std::to_string(best));
+    Log(LogLine::Level::kDebug,
+        "move " + spec.id + " from part " + std::to_string(part) + " to " + std::to_string(best));
   }
 }
 
@@ -318,19 +390,18 @@
     int tasks;
     bool within;
     bool late;
+    bool aged;
     Micros key;
     double work;  // cpu seconds that wait
     int moves;
   };
-  std::map<std::string, Share> everywhere;  // by team, over all parts
-  for (const Team& t : s_.teams) {
-    Share sum;
-    for (int q = 0; q < s_.parts(); ++q) {
-      Share u = UsedBy(parts_[static_cast<size_t>(q)].roster, t.name, true);
-      sum.cpus += u.cpus;
-      sum.gpus += u.gpus;
+  std::map<std::string, Share> everywhere = draft->use.teams;  // over all parts
+  for (int q = 0; q < s_.parts(); ++q) {
+    if (q == part) continue;
+    for (const auto& [team, use] : parts_[static_cast<size_t>(q)].use.teams) {
+      everywhere[team].cpus += use.cpus;
+      everywhere[team].gpus += use.gpus;
     }
-    everywhere[t.name] = sum;
   }
   std::vector<Waiting> waiting;
   double array_cpus = 0;
@@ -352,10 +423,14 @@
     // First who can still be in time, most urgent first; then the late ones in
     // the order of their coming.
     Micros key = LatestStart(job->record);
+    // Whatever the order, nothing waits for ever: what has waited long without a
+    // single start comes first.
+    bool aged = run.done + run.placed == 0 &&
+                WallNow(now) - job->record.submitted > FromSeconds(s_.op.starve_s());
     bool late = spec.kind != JobKind::kService && key < WallNow(now);
     if (late) key = job->record.submitted;
     double work = static_cast<double>(left * spec.each.cpus) / 1000 * ToSeconds(spec.estimate);
-    waiting.push_back({&spec, &run, left, within, late, key, work, job->record.moves});
+    waiting.push_back({&spec, &run, left, within, late, aged, key, work, job->record.moves});
   }
   // The recent peak fades within a minute, and to nothing: a share of it that
   // only dwindled would keep a last machine for long.
@@ -375,6 +450,7 @@
   const bool overload = backlog > capacity * s_.op.overload_s();
   std::sort(waiting.begin(), waiting.end(), [overload](const Waiting& a, const Waiting& b) {
     if (a.spec->priority != b.spec->priority) return a.spec->priority > b.spec->priority;
+    if (a.aged != b.aged) return a.aged;
     if (a.within != b.within) return a.within;
     if (a.late != b.late) return b.late;
     if (overload && a.work != b.work) return a.work < b.work;
@@ -385,17 +461,17 @@
   uint32_t batch = std::max(p.batch, s_.op.batch());
   uint32_t started = 0;
   const size_t most_jobs = static_cast<size_t>(std::max(1, 4 * s_.txn_ops - 12));
-  const int64_t headroom = SteadyHeadroom(part);
+  const int64_t headroom = draft->headroom;
   const int64_t zone_headroom =
       SpreadServices(part) ? headroom / static_cast<int64_t>(std::max<size_t>(1, s_.zones.size()))
                            : 0;
+  std::set<std::string> no_room;  // shapes that found no machine in this round
   for (const Waiting& w : waiting) {
     const JobSpec& spec = *w.spec;
     if (started >= batch || draft->jobs.size() >= most_jobs) break;
     const Team& team = *FindTeam(spec.team);
-    Share used = UsedBy(draft->roster, spec.team, true);
-    bool tail = draft->roster.helps.count(spec.id) != 0;
-    JobSpread& spread = draft->SpreadOf(spec.id);
+    const bool tail = draft->roster.helps.count(spec.id) != 0;
+    const JobSpread& spread = draft->SpreadOf(spec);
     // Arrays leave a little of the team's limit to its own services.
     Share kept;
     if (spec.priority != Priority::kProduction && service_teams_.count(spec.team) != 0) {
@@ -411,16 +487,31 @@
         gang ||
         (spec.spread && spec.kind == JobKind::kService && w.run->placed == 0 && w.moves < 2 &&
          (w.run->unmet_since == 0 || now - w.run->unmet_since < kWholePatience));
-    std::unique_ptr<Draft> before = whole ? std::make_unique<Draft>(*draft) : nullptr;
+    std::unique_ptr<Draft> before = gang ? std::make_unique<Draft>(*draft) : nullptr;
+    const size_t begun = draft->started.size();
+    const uint64_t gang_number = gang ? NextNumber(part, draft) : 0;
+    PlaceRequest request;
+    request.spec = &spec;
+    request.spread = &spread;
+    request.tail = tail;
+    request.steady_headroom = headroom;
+    request.zone_headroom = zone_headroom;
+    request.image_headroom =
+        headroom > 0 ? static_cast<int64_t>(1000 * s_.op.image_headroom_cpus()) : 0;
+    // An array of the same shape found no machine a moment ago: nor will this one.
+    const std::string shape =
+        spec.kind != JobKind::kArray || spec.spread || spec.one_zone || tail ? "" : ShapeOf(spec);
     int left = w.tasks;
-    bool no_machine = false;
-    for (size_t i = static_cast<size_t>(w.run->hint); i < w.run->tasks.size() && left > 0; ++i) {
+    int on = -1;  // the machine that is being filled
+    bool no_machine = !shape.empty() && no_room.count(shape) != 0;
+    for (size_t i = static_cast<size_t>(w.run->hint);
+         i < w.run->tasks.size() && left > 0 && !no_machine; ++i) {
       if (w.run->tasks[i] != kWaiting) continue;
       if (started >= batch && !whole) break;
       auto within = [&] {
         Share share = ShareOf(draft->roster, team, part, s_.parts());
         share.cpus -= kept.cpus;
-        return WithinShare(team, share, used, spec.each);
+        return WithinShare(team, share, draft->use.teams[spec.team], spec.each);
       };
       if (!within()) {
         if (asked_share) break;
@@ -431,37 +522,29 @@
           break;
         }
       }
-      PlaceRequest request;
-      request.spec = &spec;
-      request.spread = &spread;
-      request.tail = tail;
-      request.steady_headroom = headroom;
-      request.zone_headroom = zone_headroom;
-      request.service_images = &draft->service_images;
-      request.image_headroom =
-          headroom > 0 ? static_cast<int64_t>(1000 * s_.op.image_headroom_cpus()) : 0;
-      int m = ChooseMachine(request, draft->machines);
-      if (m < 0 && DraftTake(now, part, draft, spec)) m = ChooseMachine(request, draft->machines);
-      if (m < 0) {
+      // An array's tasks fill one machine after the other.
+      bool fits = on >= 0 && !shape.empty() && draft->machines[static_cast<size_t>(on)].spot &&
+                  spec.each.Fits(draft->machines[static_cast<size_t>(on)].free);
+      if (!fits) on = ChooseMachine(request, draft->machines, draft->index);
+      if (on < 0 && (!whole || gang) && DraftTake(now, part, draft, spec)) {
+        on = ChooseMachine(request, draft->machines, draft->index);
+      }
+      if (on < 0) {
         no_machine = true;
+        if (!shape.empty()) no_room.insert(shape);
         break;
       }
-      PlaceMachine& machine = draft->machines[static_cast<size_t>(m)];
-      machine.free -= spec.each;
-      ++machine.tasks[spec.id];
-      ++spread.by_zone[machine.zone];
-      if (!spec.image.empty() && machine.images.try_emplace(spec.image, false).second) {
-        ++machine.fetching;
+      PlaceMachine& machine = draft->machines[static_cast<size_t>(on)];
+      if (!spec.image.empty()) {
+        draft->index.Remove(machine);
+        if (machine.images.try_emplace(spec.image, false).second) ++machine.fetching;
+        draft->index.Add(&machine);
       }
-      used.cpus += spec.each.cpus;
-      used.gpus += spec.each.gpus;
+      draft->Occupy(&machine, spec, 1);
       // The tasks of a gang find each other by a common attempt.
-      Attempt a{
-          spec.id, static_cast<int>(i),
-          gang && left < w.tasks ? draft->started.back().second.number : NextNumber(part, draft)};
+      Attempt a{spec.id, static_cast<int>(i), gang ? gang_number : NextNumber(part, draft)};
       draft->roster.machines[machine.name].attempts.push_back(a);
       draft->started.emplace_back(machine.name, a);
-      draft->jobs.insert(spec.id);
       if (machine.helps == spec.id) {
         draft->roster.helps[spec.id].credit -=
             static_cast<double>(spec.each.cpus) / 1000.0 * ToSeconds(spec.estimate) / 3600.0;
@@ -469,28 +552,30 @@
       ++started;
       --left;
       if (!whole) w.run->unmet_since = 0;
-      draft->urgent = true;
-      draft->critical = draft->critical || spec.priority == Priority::kProduction;
     }
     if (whole && left > 0) {
-      *draft = std::move(*before);
+      if (gang) {
+        *draft = std::move(*before);
+      } else {
+        Withdraw(draft, spec, begun);
+      }
+      started = static_cast<uint32_t>(draft->started.size());
       if (w.run->unmet_since == 0) w.run->unmet_since = now;
       if (no_machine) draft->unmet.push_back({&spec, w.tasks, tail});
       continue;
     }
+    if (draft->started.size() > begun) {
+      draft->jobs.insert(spec.id);
+      draft->urgent = true;
+      draft->critical = draft->critical || spec.priority == Priority::kProduction;
+    }
     if (no_machine && left > 0) {
       draft->unmet.push_back({&spec, left, tail});
       if (w.run->unmet_since == 0) w.run->unmet_since = now;
       if (spec.priority == Priority::kProduction && now - p.explained_at > kSecond) {
         p.explained_at = now;
-        std::string why = "no room for " + spec.id + " (" + std::to_string(left) + " left):";
-        for (const PlaceMachine& m : draft->machines) {
-          if (m.spot && !spec.spot) continue;
-          why += " " + m.name + "/" + m.zone + (m.usable ? "" : " unusable") +
-                 (Allowed(spec, spread, m) ? "" : " not allowed") + " " +
-                 std::to_string(m.free.cpus / 1000) + " cpus free;";
-        }
-        Log(LogLine::Level::kDebug, std::move(why));
+        Log(LogLine::Level::kDebug,
+            "no room for " + spec.id + " (" + std::to_string(left) + " left)");
       }
       if (spec.priority == Priority::kProduction) DraftPreemption(now, part, draft, spec);
     }
@@ -498,6 +583,28 @@
   p.batch = started >= batch ? std::min(batch * 2, s_.op.batch_most()) : s_.op.batch();
 }
 
+// Takes back what was placed of a job since `begun`.
+void Core::Withdraw(Draft* draft, const JobSpec& spec, size_t begun) {
+  while (draft->started.size() > begun) {
+    const auto& [name, attempt] = draft->started.back();
+    std::erase(draft->roster.machines[name].attempts, attempt);
+    for (PlaceMachine& m : draft->machines) {
+      if (m.name == name) draft->Occupy(&m, spec, -1);
+    }
+    draft->started.pop_back();
+  }
+}
+
+// Jobs of one shape fit on the same machines.
+std::string Core::ShapeOf(const JobSpec& spec) {
+  std::string out = std::to_string(spec.each.cpus) + "/" + std::to_string(spec.each.gpus) + "/" +
+                    std::to_string(spec.each.memory) + "/" + spec.zone + (spec.spot ? "/s" : "/") +
+                    (spec.checkpoint > 0 ? "c" : "") +
+                    std::to_string(static_cast<int>(spec.priority));
+  for (const std::string& t : spec.types) out += "/" + t;
+  return out;
+}
+
 // A critical job is held up by its own team's limit: a less important task of
 // that team makes way.
 void Core::PreemptTeam(Micros now, int part, Draft* draft, const JobSpec& spec) {
@@ -530,7 +637,7 @@
 // its way. What is being stopped already counts as room to come.
 void Core::DraftPreemption(Micros now, int part, Draft* draft, const JobSpec& spec) {
   (void)part;
-  JobSpread& spread = draft->SpreadOf(spec.id);
+  JobSpread& spread = draft->SpreadOf(spec);
   const PlaceMachine* best = nullptr;
   int64_t best_cost = 0;
   std::vector<Attempt> best_stops;
@@ -578,53 +685,65 @@
   Push(now, part, best->name);
 }
 
+// Free machines of other parts that may be taken now.
+void Core::LookElsewhere(Micros now, int part, Draft* draft) const {
+  draft->looked_elsewhere = true;
+  for (int q = 0; q < s_.parts(); ++q) {
+    const Part& other = parts_[static_cast<size_t>(q)];
+    if (q == part || other.chunks.count(0) == 0 || other.committing) continue;
+    for (const auto& [name, m] : other.roster.machines) {
+      if (!m.attempts.empty() || m.leaving || !m.helps.empty()) continue;
+      if (m.addr.empty() || !draft->MayChange(name)) continue;  // still booting
+      auto since = free_since_.find(name);
+      if (!other.mine && (since == free_since_.end() || now - since->second < kTakeAfter)) continue;
+      if (other.mine) {
+        auto info = machines_.find(name);
+        if (info == machines_.end() || !Usable(now, m, info->second)) continue;
+      }
+      draft->elsewhere.emplace_back(q, name);
+    }
+  }
+}
+
 // Takes one free machine of another part for a task that has no room here.
 bool Core::DraftTake(Micros now, int part, Draft* draft, const JobSpec& spec) {
   if (now < parts_[static_cast<size_t>(part)].take_after) return false;
-  for (int q = 0; q < s_.parts(); ++q) {
-    if (q == part) continue;
+  if (!draft->looked_elsewhere) LookElsewhere(now, part, draft);
+  for (auto it = draft->elsewhere.begin(); it != draft->elsewhere.end(); ++it) {
+    const auto& [q, name] = *it;
     const Part& other = parts_[static_cast<size_t>(q)];
-    if (other.chunks.count(0) == 0 || other.committing) continue;
     // A part that is busy committing would only make this commit fail.
     if (now - other.changed_at < 60 * kMilli && spec.priority != Priority::kProduction) continue;
     // One other part in a commit, or it outgrows the transaction.
     if (!draft->others.empty() && draft->others.count(q) == 0) continue;
-    const Roster& theirs = draft->others.count(q) != 0 ? draft->others.at(q) : other.roster;
-    int64_t steady_free = 0;
-    for (const auto& [name, m] : theirs.machines) {
-      const MachineType* type = TypeOf(m.type);
-      if (!m.spot && m.attempts.empty() && !m.leaving && type != nullptr) {
-        steady_free += type->size.cpus;
-      }
-    }
-    for (const auto& [name, m] : theirs.machines) {
-      const MachineType* type = TypeOf(m.type);
-      if (type == nullptr || !m.attempts.empty() || m.leaving || !m.helps.empty()) continue;
-      if (m.addr.empty()) continue;  // still booting
-      auto since = free_since_.find(name);
-      if (!other.mine && (since == free_since_.end() || now - since->second < kTakeAfter)) continue;
-      if (other.mine) {
-        auto info = machines_.find(name);
-        if (info == machines_.end() || !Usable(now, m, info->second)) continue;
+    const RosterMachine& m = other.roster.machines.at(name);
+    const MachineType* type = TypeOf(m.type);
+    if (type == nullptr || !spec.each.Fits(type->size)) continue;
+    PlaceMachine machine = SnapshotMachine(now, part, m);
+    machine.usable = true;
+    if (!Allowed(spec, draft->SpreadOf(spec), machine)) continue;
+    // Leave the other part something for its own critical starts.
+    if (!m.spot && spec.priority != Priority::kProduction) {
+      int64_t steady_free = 0;
+      for (const auto& [p, n] : draft->elsewhere) {
+        if (p != q) continue;
+        const RosterMachine& o = other.roster.machines.at(n);
+        const MachineType* t = TypeOf(o.type);
+        if (!o.spot && t != nullptr) steady_free += t->size.cpus;
       }
-      // Leave the other part something for its own critical starts.
-      if (!m.spot && spec.priority != Priority::kProduction &&
-          steady_free - type->size.cpus <
-              static_cast<int64_t>(1000 * s_.op.service_headroom_cpus())) {
+      if (steady_free - type->size.cpus <
+          static_cast<int64_t>(1000 * s_.op.service_headroom_cpus())) {
         continue;
       }
-      RosterMachine taken = m;
-      PlaceMachine machine = SnapshotMachine(now, part, taken);
-      machine.usable = true;
-      if (!spec.each.Fits(machine.free) || !Allowed(spec, draft->SpreadOf(spec.id), machine))
-        continue;
-      Roster& changed = draft->others.try_emplace(q, other.roster).first->second;
-      changed.machines.erase(taken.name);
-      draft->machines.push_back(machine);
-      draft->roster.machines[taken.name] = std::move(taken);
-      draft->urgent = true;
-      return true;
     }
+    Roster& changed = draft->others.try_emplace(q, other.roster).first->second;
+    changed.machines.erase(name);
+    draft->roster.machines[name] = m;
+    draft->machines.push_back(std::move(machine));
+    draft->index.Add(&draft->machines.back());
+    draft->urgent = true;
+    draft->elsewhere.erase(it);
+    return true;
   }
   return false;
 }
@@ -634,7 +753,7 @@
   if (now < parts_[static_cast<size_t>(part)].take_after) return false;
   Share mine = ShareOf(draft->roster, team, part, s_.parts());
   Share missing = want;
-  Share used = UsedBy(draft->roster, team.name, true);
+  const Share used = draft->use.teams[team.name];
   missing.cpus -= mine.cpus - used.cpus;
   missing.gpus -= mine.gpus - used.gpus;
   bool moved = false;
@@ -645,7 +764,9 @@
     if (!draft->others.empty() && draft->others.count(q) == 0) continue;
     const Roster& theirs = draft->others.count(q) != 0 ? draft->others.at(q) : other.roster;
     Share share = ShareOf(theirs, team, q, s_.parts());
-    Share move = Movable(share, UsedBy(theirs, team.name, false), missing);
+    auto theirs_used = other.use.teams.find(team.name);
+    Share move = Movable(
+        share, theirs_used == other.use.teams.end() ? Share() : theirs_used->second, missing);
     if (move.cpus <= 0 && move.gpus <= 0) continue;
     Roster& changed = draft->others.try_emplace(q, other.roster).first->second;
     changed.shares[team.name] = {share.cpus - move.cpus, share.gpus - move.gpus};
@@ -677,8 +798,10 @@
     }
     int pending = spec.tasks - run.done - run.placed;
     std::vector<std::pair<Attempt, AttemptInfo*>> overdue;
-    for (auto& [a, at] : attempts_) {
-      if (a.job != id || at.gone || at.stopping || at.running_at == 0) continue;
+    for (auto it = attempts_.lower_bound({id, 0, 0}); it != attempts_.end() && it->first.job == id;
+         ++it) {
+      auto& [a, at] = *it;
+      if (at.gone || at.stopping || at.running_at == 0) continue;
       if (run.moved.count(a.task) != 0) continue;
       if (TailOverdue(now - at.running_at, median, s_.op.overdue_margin())) {
         overdue.emplace_back(a, &at);
@@ -686,7 +809,7 @@
     }
     int candidates = pending + static_cast<int>(overdue.size());
     if (candidates == 0) continue;
-    JobSpread& spread = draft->SpreadOf(id);
+    JobSpread& spread = draft->SpreadOf(spec);
     // Steady room that the part has already serves as a helper at no new cost.
     int room = 0;
     for (const PlaceMachine& m : draft->machines) {
@@ -706,7 +829,8 @@
       draft->urgent = true;
       ++counters_.tails;
       Offer offer;
-      if (candidates > room && PickOffer(now, spec, spread, false, draft->roster, &offer)) {
+      if (candidates > room &&
+          PickOffer(now, spec, spread, false, InZones(draft->roster), &offer)) {
         int n = TailHelpers(cpus, candidates - room, spec.each.cpus, offer.type->size.cpus);
         if (n > 0) {
           AddHire(part, draft, offer, false, n, id, "the tail of " + id);
@@ -739,35 +863,35 @@
 void Core::Commit(Micros now, int part, Draft* draft) {
   Part& p = parts_[static_cast<size_t>(part)];
   StateTxn txn;
+  // Only the chunks of machines that changed are written.
   auto add_roster = [this, &txn](int q, Roster* roster, bool force) {
     const Part& owner = parts_[static_cast<size_t>(q)];
-    int chunks = roster->chunks;
-    std::vector<std::string> values;
-    while (true) {
-      values.clear();
-      bool fits = true;
-      for (int i = 0; i < roster->chunks; ++i) {
-        values.push_back(EncodeChunk(*roster, i));
-        // As text a value is at most about 2.5 times its packed size.
-        auto size = static_cast<int64_t>(values.back().size());
-        if (size * 5 / 2 > s_.value_bytes * 9 / 10 &&
-            StoredSize(values.back()) > s_.value_bytes * 9 / 10) {
-          fits = false;
-        }
+    std::set<int> dirty = ChangedChunks(owner.roster, *roster);
+    if (force || owner.chunks.count(0) == 0) dirty.insert(0);
+    bool split = false;
+    while (!dirty.empty()) {
+      std::vector<std::pair<int, std::string>> values;
+      int64_t largest = 0;
+      for (int i : dirty) {
+        values.emplace_back(i, EncodeChunk(*roster, i));
+        largest = std::max(largest, StoredSize(values.back().second));
+      }
+      // Well before a value is full its chunk is divided, one a commit; only one
+      // that would not fit at all makes it more.
+      const int64_t full = s_.value_bytes * 95 / 100;
+      if (roster->chunks < kMostChunks &&
+          (largest > full || (!split && largest > std::min(kMostChunkBytes, full)))) {
+        dirty.insert({0, SplitChunk(roster->chunks), roster->chunks});
+        ++roster->chunks;
+        split = true;
+        continue;
+      }
+      for (auto& [i, value] : values) {
+        txn.writes.push_back({RosterKey(q, i), std::move(value), 0, false});
       }
-      if (fits || roster->chunks >= 64) break;
-      ++roster->chunks;  // split: chunk 0 tells how many there are
-    }
-    bool any = false;
-    for (int i = 0; i < roster->chunks; ++i) {
-      auto old = owner.chunks.find(i);
-      bool same = old != owner.chunks.end() &&
-                  old->second.value == values[static_cast<size_t>(i)] && roster->chunks == chunks;
-      if (same && !(force && i == 0)) continue;
-      txn.writes.push_back({RosterKey(q, i), std::move(values[static_cast<size_t>(i)]), 0, false});
-      any = true;
-    }
-    return any;
+      break;
+    }
+    return !dirty.empty();
   };
   bool changed = add_roster(part, &draft->roster, draft->fence);
   for (auto& [q, roster] : draft->others) changed = add_roster(q, &roster, false) || changed;
@@ -855,6 +979,20 @@
     p.progress_dirty = false;
     p.progress_at = now + FromSeconds(s_.op.progress_period_s());
   }
+  std::string body = wire::EncodeTxn(txn);
+  if (static_cast<int64_t>(body.size()) > kMostTxnBytes ||
+      static_cast<int>(txn.writes.size()) > s_.txn_ops ||
+      static_cast<int>(txn.conditions.size()) > 4 * s_.txn_ops) {
+    // Nothing of it was sent: the next rounds decide less.
+    Log(LogLine::Level::kInfo, "part " + std::to_string(part) + " decided more than fits");
+    ++counters_.oversized;
+    p.narrow = 4;
+    p.batch = std::max<uint32_t>(1, p.batch / 4);
+    p.take_after = now + kSecond;
+    p.dirty = true;
+    p.progress_dirty = p.progress_dirty || draft->progress;
+    return;
+  }
   counters_.puts += txn.writes.size();
   ++counters_.commits;
   p.committing = true;
@@ -862,7 +1000,7 @@
   auto writes = std::make_shared<std::vector<StateWrite>>(txn.writes);
   bool had_fence = p.fence;
   p.fence = false;
-  Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kCommitTimeout,
+  Send(Dest::kState, "", "POST", wire::CommitTarget(), std::move(body), kCommitTimeout,
        [this, part, shared, writes, had_fence, claim = p.my_claim](Micros t, int status,
                                                                    const std::string& body) {
          Part& q = parts_[static_cast<size_t>(part)];
@@ -873,6 +1011,7 @@
          if (current) q.committing = false;
          if (status == 200 && reply) {
            for (const StateWrite& w : *writes) ApplyPut(t, w.key, w.value, reply->revision);
+           SettleRosters(t);
            if (current) OnCommitted(t, part, *shared, reply->revision);
            return;
          }
--- a/src/core/view.cc
+++ b/src/core/view.cc
@@ -61,6 +61,7 @@
   for (const std::string& key : gone) ApplyErase(now, key, list_revision_);
   for (const auto& [key, item] : list_items_) ApplyPut(now, key, item.value, item.version);
   list_items_.clear();
+  SettleRosters(now);
   listing_ = false;
   synced_ = true;
   watch_revision_ = list_revision_;
@@ -93,6 +94,7 @@
              ApplyPut(t, e.key, e.value, e.version);
            }
          }
+         SettleRosters(t);
          watch_revision_ = std::max(watch_revision_, reply->revision);
          view_at_ = std::max(view_at_, sent);
          StartWatch(t);
@@ -133,6 +135,11 @@
         if (service_images_.size() < 1000) service_images_.insert(entry.record.spec.image);
         spread_seen_ = spread_seen_ || entry.record.spec.spread;
       }
+      if (entry.record.state == JobState::kOpen) {
+        open_jobs_.insert(k.id);
+      } else {
+        open_jobs_.erase(k.id);
+      }
       int part = entry.record.part;
       bool known_part = part >= 0 && part < s_.parts();
       if (entry.record.state != JobState::kOpen) {
@@ -144,9 +151,7 @@
         }
         health_.ForgetJob(k.id);
         if (known_part && parts_[static_cast<size_t>(part)].mine) {
-          for (auto& [attempt, info] : attempts_) {
-            if (attempt.job == k.id && !info.gone) StopAttempt(now, attempt, &info, 0);
-          }
+          StopJob(now, k.id);
           Touch(part);
         }
         DropFinishedSpec(&entry);
@@ -181,11 +186,7 @@
     }
     case Key::Kind::kRoster: {
       if (k.part >= s_.parts()) return;
-      Part& p = parts_[static_cast<size_t>(k.part)];
-      Chunk& chunk = p.chunks[k.chunk];
-      if (chunk.version >= version) return;
-      chunk = {value, version};
-      RebuildRoster(now, k.part);
+      ApplyChunk(now, k.part, k.chunk, value, version);
       return;
     }
     case Key::Kind::kProgress: {
@@ -223,26 +224,33 @@
   }
 }
 
-void Core::RebuildRoster(Micros now, int part) {
+// Only the machines of this chunk are replaced. When the number of chunks
+// grows, the divided one and the new one arrive together, in either order.
+void Core::ApplyChunk(Micros now, int part, int index, const std::string& value, uint64_t version) {
   Part& p = parts_[static_cast<size_t>(part)];
-  auto first = p.chunks.find(0);
-  if (first == p.chunks.end()) return;
+  Chunk& chunk = p.chunks[index];
+  if (chunk.version >= version) return;
+  chunk.version = version;
   Roster next;
-  if (!DecodeChunk(first->second.value, 0, &next)) {
+  if (!DecodeChunk(value, index, &next)) {
     Log(LogLine::Level::kError, "unreadable roster of part " + std::to_string(part));
     return;
   }
-  for (const auto& [i, chunk] : p.chunks) {
-    if (i != 0 && i < next.chunks) DecodeChunk(chunk.value, i, &next);
-  }
-  for (const auto& [name, m] : p.roster.machines) {
-    auto it = machine_part_.find(name);
-    if (it != machine_part_.end() && it->second == part && next.machines.count(name) == 0) {
-      machine_part_.erase(it);
+  for (const std::string& name : chunk.names) {
+    auto of = p.chunk_of.find(name);
+    if (of == p.chunk_of.end() || of->second != index || next.machines.count(name) != 0) continue;
+    p.chunk_of.erase(of);
+    p.roster.machines.erase(name);
+    auto owner = machine_part_.find(name);
+    if (owner != machine_part_.end() && owner->second == part) {
+      machine_part_.erase(owner);
       departed_[name] = now;
     }
   }
-  for (const auto& [name, m] : next.machines) {
+  chunk.names.clear();
+  for (auto& [name, m] : next.machines) {
+    chunk.names.push_back(name);
+    p.chunk_of[name] = index;
     machine_part_[name] = part;
     departed_.erase(name);
     unknown_.erase(name);
@@ -255,10 +263,27 @@
         free_since_.try_emplace(name, now);
       }
     }
+    p.roster.machines[name] = std::move(m);
+  }
+  if (index == 0) {
+    p.roster.chunks = next.chunks;
+    p.roster.next_number = next.next_number;
+    p.roster.hires = std::move(next.hires);
+    p.roster.shares = std::move(next.shares);
+    p.roster.helps = std::move(next.helps);
   }
   p.changed_at = now;
-  p.roster = std::move(next);
-  if (p.mine) SyncPart(now, part);
+  p.sync_due = true;
+}
+
+void Core::SettleRosters(Micros now) {
+  for (int part = 0; part < s_.parts(); ++part) {
+    Part& p = parts_[static_cast<size_t>(part)];
+    if (!p.sync_due) continue;
+    p.sync_due = false;
+    p.use = UseOf(p.roster, false);
+    if (p.mine) SyncPart(now, part);
+  }
 }
 
 int Core::PartOfMachine(const std::string& name) const {
--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -189,6 +189,9 @@
     return false;
   }
   bool new_session = !first && report.session > info.session;
+  // Most reports change nothing that a round would look at.
+  bool changed =
+      first || new_session || now - info.heard > 2 * s_.report || info.token_seen < info.need_token;
   info.session = report.session;
   info.seq = report.seq;
   info.token_seen = std::max(info.token_seen, report.token);
@@ -230,6 +233,7 @@
                                         machine.name + " after " +
                                         std::to_string((now - at.placed_at) / kMilli) + " ms");
       }
+      changed = changed || at.state != t.state;
       at.state = t.state;
       if (t.state != TaskState::kFetching) {
         if (const JobEntry* job = FindJob(a.job)) {
@@ -258,7 +262,7 @@
       MarkGone(now, part, a, &at);
     }
   }
-  Touch(part);
+  if (changed) Touch(part);
   return true;
 }
 
@@ -325,6 +329,13 @@
   ++counters_.stops;
 }
 
+void Core::StopJob(Micros now, const std::string& job) {
+  for (auto it = attempts_.lower_bound({job, 0, 0}); it != attempts_.end() && it->first.job == job;
+       ++it) {
+    if (!it->second.gone) StopAttempt(now, it->first, &it->second, 0);
+  }
+}
+
 std::vector<Command> Core::MakeOrders(Micros now, int part, const RosterMachine& machine,
                                       const Report& report) {
   std::vector<Command> orders;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "wire/pack.h"
 #include "wire/types.h"
 
 namespace troutlink::wire {
@@ -23,6 +24,9 @@
 // Users.
 std::optional<JobSpec> DecodeSubmission(std::string_view body, std::string* why);
 std::string EncodeSubmission(const JobSpec& spec);
+// The same as a part of another document.
+std::optional<JobSpec> DecodeSpec(const Json& map, std::string* why);
+Json EncodeSpec(const JobSpec& spec);
 std::string EncodeJobState(std::string_view id, std::string_view state);
 std::string EncodeJobStatus(const JobStatus& status);
 std::string EncodeError(std::string_view why);
--- a/src/wire/user.cc
+++ b/src/wire/user.cc
@@ -54,7 +54,10 @@
     *why = "body must be one MessagePack map keyed by text";
     return std::nullopt;
   }
-  const Json& m = *doc;
+  return DecodeSpec(*doc, why);
+}
+
+std::optional<JobSpec> DecodeSpec(const Json& m, std::string* why) {
   JobSpec s;
   std::string kind, priority;
   double cpus = 0, gpus = 0, memory = 0, gb = 0, estimate = 0, checkpoint = 0, save = 0;
@@ -133,7 +136,7 @@
   return s;
 }
 
-std::string EncodeSubmission(const JobSpec& s) {
+Json EncodeSpec(const JobSpec& s) {
   static const char* kPriorities[] = {"low", "standard", "urgent", "critical"};
   Json m = {{"name_id", s.id},
             {"docket", s.job_class},
@@ -157,9 +160,11 @@
   if (!s.types.empty()) m["builds"] = s.types;
   if (!s.zone.empty()) m["room"] = s.zone;
   if (s.deadline > 0) m["due_s"] = ToSeconds(s.deadline);
-  return Pack(m);
+  return m;
 }
 
+std::string EncodeSubmission(const JobSpec& s) { return Pack(EncodeSpec(s)); }
+
 std::string EncodeJobState(std::string_view id, std::string_view state) {
   return Pack(Json{{"name_id", id}, {"status", state}});
 }
--- a/tests/units_test.cc
+++ b/tests/units_test.cc
@@ -107,16 +107,17 @@
   PlaceRequest r;
   r.spec = &s;
   r.spread = &spread;
-  EXPECT_EQ(ChooseMachine(r, machines), 1);
+  auto choose = [&] { return ChooseMachine(r, machines, PlaceIndex({"i"}, &machines)); };
+  EXPECT_EQ(choose(), 1);
   r.steady_headroom = 30000;
   // Work that stops at once may use the headroom; work that saves may not.
-  EXPECT_EQ(ChooseMachine(r, machines), 1);
+  EXPECT_EQ(choose(), 1);
   s.checkpoint = 20 * kSecond;
-  EXPECT_EQ(ChooseMachine(r, machines), -1);
+  EXPECT_EQ(choose(), -1);
   s.kind = JobKind::kService;
-  EXPECT_EQ(ChooseMachine(r, machines), 1);
+  EXPECT_EQ(choose(), 1);
   machines[0].usable = machines[1].usable = false;
-  EXPECT_EQ(ChooseMachine(r, machines), -1);
+  EXPECT_EQ(choose(), -1);
 }
 
 TEST(Quota, SharesAddUpToTheLimit) {
