--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -14,6 +14,7 @@
 constexpr Micros kCommitTimeout = 1500 * kMilli;
 constexpr Micros kQueryPatience = 1500 * kMilli;
 constexpr size_t kMostQueries = 2000;
+constexpr Micros kWaitsAge = 40 * kMilli;
 constexpr int kRetryAfter = 1;
 // The state service usually answers within some ten milliseconds.
 constexpr Micros kForwardAfter = 100 * kMilli;
@@ -46,12 +47,11 @@
   return "";
 }
 
-// What each part has for a job: where its tasks could start now, given their
-// zones, and free cpus less what already waits there.
-std::vector<Core::Room> Core::RoomsFor(const JobSpec& spec) const {
-  std::vector<Room> rooms(parts_.size());
+const Core::Waits& Core::WaitingCpus() {
+  if (now_ - waits_at_ < kWaitsAge && !waits_.empty()) return waits_;
+  waits_at_ = now_;
+  waits_.assign(parts_.size(), {});
   for (const std::string& id : open_jobs_) {
-    if (id == spec.id) continue;
     const JobRecord& r = jobs_.at(id).record;
     if (r.part < 0 || r.part >= s_.parts()) continue;
     const Part& p = parts_[static_cast<size_t>(r.part)];
@@ -65,44 +65,50 @@
       auto placed = p.use.jobs.find(id);
       if (placed != p.use.jobs.end()) waiting -= placed->second;
     }
-    // Only work that comes first counts against a critical job.
-    if (waiting > 0 && r.spec.priority >= spec.priority) {
-      rooms[static_cast<size_t>(r.part)].waiting += static_cast<double>(waiting * r.spec.each.cpus);
+    if (waiting <= 0) continue;
+    for (int i = 0; i <= static_cast<int>(r.spec.priority); ++i) {
+      waits_[static_cast<size_t>(r.part)][static_cast<size_t>(i)] += waiting * r.spec.each.cpus;
     }
   }
+  return waits_;
+}
+
+// What each part has for a job: where its tasks could start now, given their
+// zones, and free cpus less what already waits there and comes first.
+std::vector<Core::Room> Core::RoomsFor(const JobSpec& spec) {
+  std::vector<Room> rooms(parts_.size());
+  const Waits& waits = WaitingCpus();
+  const bool critical = spec.priority == Priority::kProduction;
   for (size_t p = 0; p < parts_.size(); ++p) {
     Room& room = rooms[p];
+    room.waiting = static_cast<double>(waits[p][static_cast<size_t>(spec.priority)]);
     JobSpread spread, warm_spread;
-    for (const auto& [name, m] : parts_[p].roster.machines) {
+    PlaceMachine probe;
+    for (const MachineUse& use : parts_[p].machine_use) {
+      const RosterMachine& m = *use.machine;
       const MachineType* type = TypeOf(m.type);
       if (type == nullptr || m.leaving || !m.helps.empty()) continue;
       if (!TypeAllowed(spec, m.type, m.spot)) continue;
-      Amount left = type->size;
-      bool has_image = false;
-      for (const Attempt& a : m.attempts) {
-        if (const JobEntry* job = FindJob(a.job)) {
-          // What it may push aside is room for a critical job.
-          if (spec.priority == Priority::kProduction && job->record.spec.priority < spec.priority) {
-            continue;
-          }
-          left -= job->record.spec.each;
-          has_image = has_image || job->record.spec.image == spec.image;
-        }
-      }
+      // What it may push aside is room for a critical job.
+      Amount left = type->size - (critical ? use.critical : use.all);
       if (left.cpus > 0) room.free += static_cast<double>(left.cpus);
       if (m.addr.empty()) continue;  // still booting
-      PlaceMachine probe;
+      if (!spec.each.Fits(left)) continue;
       probe.type = m.type;
       probe.zone = m.zone;
       probe.spot = m.spot;
-      auto info = machines_.find(name);
-      has_image =
-          has_image || (info != machines_.end() && info->second.images.count(spec.image) != 0);
-      for (Amount rest = left; has_image && room.warm < spec.tasks && spec.each.Fits(rest) &&
-                               spec.each.cpus > 0 && Allowed(spec, warm_spread, probe);) {
-        rest -= spec.each;
-        ++warm_spread.by_zone[m.zone];
-        ++room.warm;
+      if (spec.kind == JobKind::kService && room.warm < spec.tasks) {
+        bool has_image = use.images.count(spec.image) != 0;
+        if (!has_image) {
+          auto info = machines_.find(m.name);
+          has_image = info != machines_.end() && info->second.images.count(spec.image) != 0;
+        }
+        for (Amount rest = left; has_image && room.warm < spec.tasks && spec.each.Fits(rest) &&
+                                 spec.each.cpus > 0 && Allowed(spec, warm_spread, probe);) {
+          rest -= spec.each;
+          ++warm_spread.by_zone[m.zone];
+          ++room.warm;
+        }
       }
       while (room.placeable < spec.tasks && spec.each.Fits(left) && Allowed(spec, spread, probe)) {
         left -= spec.each;
@@ -124,7 +130,7 @@
   return rooms;
 }
 
-int Core::PartForJob(const JobSpec& spec) const {
+int Core::PartForJob(const JobSpec& spec) {
   std::vector<Room> rooms = RoomsFor(spec);
   size_t best = StableHash(spec.id) % parts_.size();
   std::vector<double> score(parts_.size(), 0);
@@ -234,6 +240,11 @@
   write_budget_.Force(now, 1);
   JobRecord record;
   record.part = PartForJob(*spec);
+  // The next one of a burst sees this one wait there.
+  for (int i = 0; i <= static_cast<int>(spec->priority); ++i) {
+    waits_[static_cast<size_t>(record.part)][static_cast<size_t>(i)] +=
+        spec->tasks * spec->each.cpus;
+  }
   record.submitted = WallNow(now);
   record.spec = std::move(*spec);
   StateTxn txn;
--- a/src/core/budget.h
+++ b/src/core/budget.h
@@ -14,7 +14,9 @@
 
   bool Take(Micros now, double n = 1, double reserve = 0) {
     Refill(now);
-    if (have_ < n + reserve) return false;
+    // More than the bucket holds is taken from a full one and worked off; else
+    // it would wait for ever.
+    if (have_ < std::min(n + reserve, burst_)) return false;
     have_ -= n;
     return true;
   }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -3,6 +3,7 @@
 #ifndef TROUTLINK_CORE_CORE_H_
 #define TROUTLINK_CORE_CORE_H_
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -68,6 +69,13 @@
     std::map<std::string, Share> teams;
     std::unordered_map<std::string, int> jobs;  // attempts
   };
+  // The same of one machine, for comparing parts.
+  struct MachineUse {
+    const RosterMachine* machine = nullptr;
+    Amount all;
+    Amount critical;                  // by work of the highest priority
+    std::set<std::string> images;     // of its tasks
+  };
   struct Part {
     uint64_t claim_version = 0;  // 0: nobody holds it
     Claim claim;
@@ -75,6 +83,7 @@
     Roster roster;
     std::unordered_map<std::string, int> chunk_of;  // of its machines, as stored
     Use use;
+    std::vector<MachineUse> machine_use;
     bool sync_due = false;  // the roster changed
     uint64_t progress_version = 0;
     Progress progress;
@@ -182,8 +191,11 @@
     int warm = 0;        // the same where its image is
     bool owned = false;  // by a node that lives
   };
-  std::vector<Room> RoomsFor(const JobSpec& spec) const;
-  int PartForJob(const JobSpec& spec) const;
+  std::vector<Room> RoomsFor(const JobSpec& spec);
+  // Cpus that wait in each part for work of at least each priority.
+  using Waits = std::vector<std::array<int64_t, 4>>;
+  const Waits& WaitingCpus();
+  int PartForJob(const JobSpec& spec);
   // Empty: it can run.
   std::string NeverRuns(const JobSpec& spec) const;
 
@@ -375,6 +387,8 @@
   Micros state_ok_ = 0;  // last answer of the state service
   std::unordered_map<std::string, JobEntry> jobs_;
   std::set<std::string> open_jobs_;
+  Waits waits_;
+  Micros waits_at_ = -kSecond;
   bool spread_seen_ = false;  // some service spreads over zones
   std::set<std::string> service_images_;
   std::set<std::string> service_teams_;  // that ever had a service
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -23,6 +23,7 @@
   Amount size;
   Amount free;
   int64_t soft = 0;  // cpus of work that gives way to services at once
+  Amount lesser;     // taken by work that critical work may push aside
   double fetch_gb_per_s = 0.1;
   double price_per_cpu = 0;
   // Image name -> true: cached; false: being fetched.
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -26,6 +26,7 @@
 constexpr int64_t kMostChunkBytes = 10 * 1024;
 constexpr int kMostChunksAtOnce = 5;
 constexpr int kMostChunks = 1024;
+constexpr int kMostPreemptions = 8;
 // Chunks whose stored content differs between two states of a roster.
 std::set<int> ChangedChunks(const Roster& before, const Roster& after) {
   std::set<int> out;
@@ -171,6 +172,7 @@
     const JobEntry* job = FindJob(a.job);
     if (job == nullptr) continue;
     out.free -= job->record.spec.each;
+    if (job->record.spec.priority < Priority::kProduction) out.lesser += job->record.spec.each;
     if (at != attempts_.end() && at->second.state == TaskState::kFetching &&
         !job->record.spec.image.empty()) {
       if (out.images.try_emplace(job->record.spec.image, false).second) ++out.fetching;
@@ -465,6 +467,7 @@
   const int64_t zone_headroom =
       SpreadServices(part) ? headroom / static_cast<int64_t>(std::max<size_t>(1, s_.zones.size()))
                            : 0;
+  int preemptions = 0;
   std::set<std::string> no_room;  // shapes that found no machine in this round
   for (const Waiting& w : waiting) {
     const JobSpec& spec = *w.spec;
@@ -577,7 +580,10 @@
         Log(LogLine::Level::kDebug,
             "no room for " + spec.id + " (" + std::to_string(left) + " left)");
       }
-      if (spec.priority == Priority::kProduction) DraftPreemption(now, part, draft, spec);
+      // One machine for each of them in a round, and not for too many at once.
+      if (spec.priority == Priority::kProduction && ++preemptions <= kMostPreemptions) {
+        DraftPreemption(now, part, draft, spec);
+      }
     }
   }
   p.batch = started >= batch ? std::min(batch * 2, s_.op.batch_most()) : s_.op.batch();
@@ -643,6 +649,7 @@
   std::vector<Attempt> best_stops;
   for (const PlaceMachine& m : draft->machines) {
     if (!m.usable || !m.helps.empty() || !Allowed(spec, spread, m)) continue;
+    if (!spec.each.Fits(m.free + m.lesser)) continue;
     auto roster = draft->roster.machines.find(m.name);
     if (roster == draft->roster.machines.end()) continue;
     Amount room = m.free;
--- a/src/core/view.cc
+++ b/src/core/view.cc
@@ -282,6 +282,19 @@
     if (!p.sync_due) continue;
     p.sync_due = false;
     p.use = UseOf(p.roster, false);
+    p.machine_use.clear();
+    for (const auto& [name, m] : p.roster.machines) {
+      MachineUse& use = p.machine_use.emplace_back();
+      use.machine = &m;
+      for (const Attempt& a : m.attempts) {
+        const JobEntry* job = FindJob(a.job);
+        if (job == nullptr) continue;
+        const JobSpec& spec = job->record.spec;
+        use.all += spec.each;
+        if (spec.priority == Priority::kProduction) use.critical += spec.each;
+        use.images.insert(spec.image);
+      }
+    }
     if (p.mine) SyncPart(now, part);
   }
 }
