--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -288,6 +288,7 @@
   put("claims_total", c.claims);
   put("lost_claims_total", c.lost_claims);
   put("handed_back_total", c.handed_back);
+  put("unheeding_total", c.unheeding);
   put("tails_total", c.tails);
   put("helpers_total", c.helpers);
   put("overdue_total", c.overdue);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -33,6 +33,7 @@
            consolidated = 0;
   uint64_t hired = 0, refused_hires = 0, returned = 0, adopted = 0;
   uint64_t claims = 0, lost_claims = 0, handed_back = 0;
+  uint64_t unheeding = 0;
   uint64_t tails = 0, helpers = 0, overdue = 0, preempted = 0, fences = 0;
 };
 
@@ -73,8 +74,8 @@
   struct MachineUse {
     const RosterMachine* machine = nullptr;
     Amount all;
-    Amount critical;                  // by work of the highest priority
-    std::set<std::string> images;     // of its tasks
+    Amount critical;               // by work of the highest priority
+    std::set<std::string> images;  // of its tasks
   };
   struct Part {
     uint64_t claim_version = 0;  // 0: nobody holds it
@@ -230,6 +231,11 @@
     Micros since = 0;         // when we began to care for it
     Micros first_heard = 0;
     Micros quiet_since = 0;  // a sibling that owned it missed it since then
+    // Whether our answers reach it. Its reports may while these do not.
+    Micros answered_since = 0;  // every report since then was answered with 200
+    Micros answered_at = 0;
+    std::vector<Attempt> ordered;  // starts and reaps of the last answer
+    int unheeded = 0;              // answers in a row whose orders did nothing
     bool direct_busy = false;
     int direct_failures = 0;
     Micros no_direct_before = 0;
@@ -261,6 +267,8 @@
   bool MayCare(Micros now, int part, const Report& report) const;
   void AnswerReport(uint64_t request, const std::string& relay_from, uint64_t relay_id, int status,
                     std::string body);
+  void NoteAnswer(Micros now, MachineInfo* info, const std::vector<Command>& orders);
+  void CheckHeeded(Micros now, int part, MachineInfo* info, const Report& report, bool new_session);
   bool TakeReport(Micros now, int part, const RosterMachine& machine, const Report& report,
                   bool direct);
   std::vector<Command> MakeOrders(Micros now, int part, const RosterMachine& machine,
@@ -465,6 +473,7 @@
   uint64_t mark_ = 0;
   std::map<std::string, Micros> free_since_;  // others' machines, for taking
   Micros next_judge_ = 0;
+  std::deque<Micros> unheeding_;  // when machines were found not to hear us
   bool some_silent_ = false;
 
   Budget write_budget_;
--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -135,9 +135,63 @@
     AnswerReport(request, relay_from, relay_id, 503, wire::EncodeError("old session"));
     return;
   }
+  NoteAnswer(now, &info, orders);
   AnswerReport(request, relay_from, relay_id, 200, wire::EncodeReportReply(token, orders));
 }
 
+void Core::NoteAnswer(Micros now, MachineInfo* info, const std::vector<Command>& orders) {
+  if (info->answered_since == 0 || now - info->answered_at > 2 * s_.report + kSecond) {
+    info->answered_since = now;
+  }
+  info->answered_at = now;
+  info->ordered.clear();
+  for (const Command& c : orders) {
+    if (c.op != Command::Op::kStop) info->ordered.push_back({c.job, c.task, c.attempt});
+  }
+}
+
+// A machine whose reports arrive while answers and commands do not reach it looks
+// alive and does nothing. It gets no more work once its answers' orders had no
+// effect twice, and goes back when its lease ended although every report of that
+// time was answered.
+void Core::CheckHeeded(Micros now, int part, MachineInfo* info, const Report& report,
+                       bool new_session) {
+  if (new_session) {
+    bool answered = info->answered_since != 0 &&
+                    now - info->answered_at <= 2 * s_.report + kSecond &&
+                    info->answered_at - info->answered_since >= s_.lease;
+    info->answered_since = 0;
+    info->ordered.clear();
+    if (!answered) return;
+    ++counters_.unheeding;
+    while (!unheeding_.empty() && now - unheeding_.front() > 2 * s_.lease) unheeding_.pop_front();
+    unheeding_.push_back(now);
+    // When many do, it is rather we who answer too late.
+    size_t some = 3 + parts_[static_cast<size_t>(part)].roster.machines.size() / 10;
+    if (unheeding_.size() > some) return;
+    info->give_up = true;
+    Log(LogLine::Level::kInfo, "giving up " + report.machine + ": it does not hear us");
+    Touch(part);
+    return;
+  }
+  if (info->ordered.empty()) return;
+  size_t done = 0;
+  for (const Attempt& a : info->ordered) {
+    bool there = false, ended = false;
+    for (const TaskReport& t : report.tasks) {
+      if (t.job != a.job || t.task != a.task || t.attempt != a.number) continue;
+      there = true;
+      ended = t.state == TaskState::kExited;
+    }
+    auto at = attempts_.find(a);
+    // A start shows by the task, a reap by its absence.
+    bool start = at != attempts_.end() && !at->second.gone;
+    if (start ? there : !there || !ended) ++done;
+  }
+  info->unheeded = done > 0 ? 0 : info->unheeded + 1;
+  info->ordered.clear();
+}
+
 bool Core::MayCare(Micros now, int part, const Report& report) const {
   const Part& p = parts_[static_cast<size_t>(part)];
   if (StateFresh(now) || !MayRenew(now)) return false;
@@ -185,13 +239,20 @@
   bool first = info.session == 0;
   if (!first && (report.session < info.session ||
                  (report.session == info.session && report.seq <= info.seq))) {
-    if (report.session == info.session) info.heard = now;
+    // Nor does it show that the machine lives: copies of reports come late.
     return false;
   }
   bool new_session = !first && report.session > info.session;
   // Most reports change nothing that a round would look at.
   bool changed =
       first || new_session || now - info.heard > 2 * s_.report || info.token_seen < info.need_token;
+  if (!direct) {
+    CheckHeeded(now, part, &info, report, new_session);
+  } else {
+    info.unheeded = 0;  // it answered
+    info.answered_since = 0;
+    info.ordered.clear();
+  }
   info.session = report.session;
   info.seq = report.seq;
   info.token_seen = std::max(info.token_seen, report.token);
