--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -172,7 +172,7 @@
   if (const auto* ping = std::get_if<mesh::Ping>(&message)) {
     TakeGossip(now, from, *ping);
     mesh::Pong pong;
-    static_cast<mesh::Gossip&>(pong) = MakeGossip(now);
+    static_cast<mesh::Gossip&>(pong) = MakeGossip(now, false);
     pong.seq = ping->seq;
     out_.peers.push_back({from, std::move(pong)});
   } else if (const auto* pong = std::get_if<mesh::Pong>(&message)) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -85,6 +85,8 @@
     std::unordered_map<std::string, int> chunk_of;  // of its machines, as stored
     Use use;
     std::vector<MachineUse> machine_use;
+    size_t attempts = 0;
+    bool any_leaving = false;
     bool sync_due = false;  // the roster changed
     uint64_t progress_version = 0;
     Progress progress;
@@ -106,6 +108,7 @@
     Micros last_commit = 0;
     Micros committed_at = 0;
     Micros not_before = 0;
+    Micros round_at = 0;
     Micros cleanup_at = 0;
     int conflicts = 0;
     Micros take_after = 0;    // other parts are left alone until then
@@ -137,7 +140,7 @@
 
   // --- ownership (ownership.cc) ----------------------------------------------
   void Gossip(Micros now);
-  mesh::Gossip MakeGossip(Micros now) const;
+  mesh::Gossip MakeGossip(Micros now, bool warm) const;
   void TakeGossip(Micros now, const std::string& from, const mesh::Gossip& gossip);
   void RunLease(Micros now);
   void RunClaims(Micros now);
@@ -423,6 +426,7 @@
   Micros now_ = 0;  // of the last tick
   uint64_t ping_seq_;
   Micros next_gossip_ = 0;
+  Micros next_warm_ = 0;
   std::deque<std::pair<Micros, std::string>> accepted_cancels_;
   std::set<std::string> heard_cancels_;  // from peers, perhaps before the view
 
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -565,7 +565,7 @@
 
 void Core::SendReturns(Micros now, int part) {
   Part& p = parts_[static_cast<size_t>(part)];
-  if (!p.mine) return;
+  if (!p.mine || !p.any_leaving) return;
   std::vector<std::string> names;
   for (const auto& [name, m] : p.roster.machines) {
     MachineInfo& info = machines_[name];
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -7,11 +7,13 @@
 
 namespace {
 constexpr Micros kGossipPeriod = 500 * kMilli;
+constexpr Micros kWarmPeriod = 2 * kSecond;
+constexpr size_t kMostWarm = 1000;  // machines in one message
 constexpr Micros kStateTimeout = 1500 * kMilli;
 constexpr Micros kRenewMargin = 1500 * kMilli;
 }  // namespace
 
-mesh::Gossip Core::MakeGossip(Micros now) const {
+mesh::Gossip Core::MakeGossip(Micros now, bool warm) const {
   mesh::Gossip g;
   g.boot = boot_;
   g.uptime_us = static_cast<uint64_t>(now - started_);
@@ -34,12 +36,12 @@
           g.quiet.size() < 200) {
         g.quiet.push_back({name, static_cast<uint64_t>(now - info->second.heard)});
       }
-      if (m.spot) continue;
-      mesh::Warm warm{name, {}};
+      if (m.spot || !warm) continue;
+      mesh::Warm has{name, {}};
       for (const auto& [image, used] : info->second.images) {
-        if (service_images_.count(image) != 0) warm.images.push_back(image);
+        if (service_images_.count(image) != 0) has.images.push_back(image);
       }
-      if (!warm.images.empty() && g.warm.size() < 200) g.warm.push_back(std::move(warm));
+      if (!has.images.empty() && g.warm.size() < kMostWarm) g.warm.push_back(std::move(has));
     }
   }
   for (const auto& [when, id] : accepted_cancels_) g.cancels.push_back(id);
@@ -53,9 +55,13 @@
 
 void Core::Gossip(Micros now) {
   next_gossip_ = now + kGossipPeriod;
+  // What machines hold is long and changes slowly.
+  const bool warm = now >= next_warm_;
+  if (warm) next_warm_ = now + kWarmPeriod;
+  const mesh::Gossip gossip = MakeGossip(now, warm);
   for (auto& [label, peer] : peers_) {
     mesh::Ping ping;
-    static_cast<mesh::Gossip&>(ping) = MakeGossip(now);
+    static_cast<mesh::Gossip&>(ping) = gossip;
     ping.seq = ++ping_seq_;
     peer.pings[ping.seq] = now;
     while (peer.pings.size() > 64) peer.pings.erase(peer.pings.begin());
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -18,7 +18,9 @@
 constexpr Micros kWholePatience = 500 * kMilli;
 constexpr Micros kTakeAfter = 1500 * kMilli;
 constexpr Micros kRoundPace = 15 * kMilli;
-constexpr Micros kPacePerItem = 100;  // a machine or a job
+constexpr double kItemCost = 6;       // microseconds for a machine or an attempt
+constexpr double kRoundShare = 0.25;  // of the processor that we have
+constexpr int64_t kHurry = 3;         // rounds of critical work come so much sooner
 constexpr Micros kMovePatience = 500 * kMilli;
 // A transaction's limit as the platform's protocol states it, with some room
 // left for its frame.
@@ -61,6 +63,10 @@
   if (runs_.count(id) != 0) return;
   JobRun& run = runs_[id];
   run.part = part;
+  Part& p = parts_[static_cast<size_t>(part)];
+  if (entry.record.spec.priority == Priority::kProduction && p.conflicts == 0) {
+    p.not_before = std::min(p.not_before, p.round_at + RoundPace(p) / kHurry);
+  }
   run.tasks.assign(static_cast<size_t>(entry.record.spec.tasks), kWaiting);
   const Progress& progress = parts_[static_cast<size_t>(part)].progress;
   auto it = progress.find(id);
@@ -250,11 +256,12 @@
   return best;
 }
 
-// A round looks at all that a part has: the more that is, the further apart
-// rounds are, and the more each decides.
+// A round looks at all that a part has. It may take so much of our share of a
+// processor: the more a part has, the further apart rounds are, and the more each
+// of them decides.
 Micros Core::RoundPace(const Part& p) const {
-  return kRoundPace +
-         kPacePerItem * static_cast<Micros>(p.roster.machines.size() + p.use.jobs.size());
+  double items = static_cast<double>(p.roster.machines.size() + p.attempts);
+  return kRoundPace + static_cast<Micros>(items * kItemCost / (kRoundShare * s_.cores));
 }
 
 void Core::RunRounds(Micros now) {
@@ -271,6 +278,7 @@
   ++counters_.rounds;
   p.dirty = false;
   p.last_commit = now;
+  p.round_at = now;
   p.not_before = now + RoundPace(p);
   Draft draft;
   draft.roster = p.roster;
--- a/src/core/view.cc
+++ b/src/core/view.cc
@@ -283,9 +283,13 @@
     p.sync_due = false;
     p.use = UseOf(p.roster, false);
     p.machine_use.clear();
+    p.attempts = 0;
+    p.any_leaving = false;
     for (const auto& [name, m] : p.roster.machines) {
       MachineUse& use = p.machine_use.emplace_back();
       use.machine = &m;
+      p.attempts += m.attempts.size();
+      p.any_leaving = p.any_leaving || m.leaving;
       for (const Attempt& a : m.attempts) {
         const JobEntry* job = FindJob(a.job);
         if (job == nullptr) continue;
