--- a/src/core/core.h
+++ b/src/core/core.h
@@ -213,6 +213,9 @@
   // Empty: it can run.
   std::string NeverRuns(const JobSpec& spec) const;
 
+  // Answers in a row without effect after which a machine gets no more work.
+  static constexpr int kMostUnheeded = 2;
+
   // --- workers (workers.cc) ----------------------------------------------------
   struct AttemptInfo {
     std::string machine;
@@ -245,10 +248,10 @@
     Micros first_heard = 0;
     Micros quiet_since = 0;  // a sibling that owned it missed it since then
     // Whether our answers reach it. Its reports may while these do not.
-    Micros answered_since = 0;  // every report since then was answered with 200
-    Micros answered_at = 0;
+    Micros answered_at = 0;        // last 200 to a report of this session
     std::vector<Attempt> ordered;  // starts and reaps of the last answer
     int unheeded = 0;              // answers in a row whose orders did nothing
+    int lapses = 0;                // leases in a row that ended although we answered
     bool direct_busy = false;
     int direct_failures = 0;
     Micros no_direct_before = 0;
@@ -486,7 +489,6 @@
   uint64_t mark_ = 0;
   std::map<std::string, Micros> free_since_;  // others' machines, for taking
   Micros next_judge_ = 0;
-  std::deque<Micros> unheeding_;  // when machines were found not to hear us
   bool some_silent_ = false;
 
   Budget write_budget_;
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -153,7 +153,7 @@
 
 bool Core::Usable(Micros now, const RosterMachine& m, const MachineInfo& info) const {
   if (m.leaving || info.give_up || info.failed || info.notice_end != 0 || info.drain) return false;
-  if (info.session == 0 || now < info.avoid_until || info.unheeded >= 2) return false;
+  if (info.session == 0 || now < info.avoid_until || info.unheeded >= kMostUnheeded) return false;
   if (now - info.heard > 2 * s_.report + kSecond) return false;
   return !health_.Sick(m.name);
 }
--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -11,6 +11,7 @@
 constexpr Micros kRedirectMemory = 15 * kSecond;
 constexpr Micros kRelayFor = 20 * kSecond;
 constexpr Micros kGraceSlack = 3 * kSecond;
+constexpr Micros kLapseSlack = 2 * kSecond;
 }  // namespace
 
 uint64_t Core::TokenOf(int part, const MachineInfo& info) const {
@@ -140,9 +141,6 @@
 }
 
 void Core::NoteAnswer(Micros now, MachineInfo* info, const std::vector<Command>& orders) {
-  if (info->answered_since == 0 || now - info->answered_at > 2 * s_.report + kSecond) {
-    info->answered_since = now;
-  }
   info->answered_at = now;
   info->ordered.clear();
   for (const Command& c : orders) {
@@ -151,24 +149,23 @@
 }
 
 // A machine whose reports arrive while answers and commands do not reach it looks
-// alive and does nothing. It gets no more work once its answers' orders had no
-// effect twice, and goes back when its lease ended although every report of that
-// time was answered.
+// alive and does nothing. It gets no more work once the orders of two answers had
+// no effect, or once its lease ended although we had just answered it. Then it is
+// asked directly: an answer clears it, and without one it goes back.
 void Core::CheckHeeded(Micros now, int part, MachineInfo* info, const Report& report,
                        bool new_session) {
   if (new_session) {
-    bool answered = info->answered_since != 0 &&
-                    now - info->answered_at <= 2 * s_.report + kSecond &&
-                    info->answered_at - info->answered_since >= s_.lease;
-    info->answered_since = 0;
+    const bool answered =
+        info->answered_at != 0 && now - info->answered_at < Shortest(s_.lease) - kLapseSlack;
+    info->answered_at = 0;
     info->ordered.clear();
     if (!answered) return;
     ++counters_.unheeding;
-    while (!unheeding_.empty() && now - unheeding_.front() > 2 * s_.lease) unheeding_.pop_front();
-    unheeding_.push_back(now);
-    // When many do, it is rather we who answer too late.
-    size_t some = 3 + parts_[static_cast<size_t>(part)].roster.machines.size() / 10;
-    if (unheeding_.size() > some) return;
+    ++info->lapses;
+    info->unheeded = std::max(info->unheeded, kMostUnheeded);
+    info->probe = true;
+    info->no_direct_before = std::min(info->no_direct_before, now);
+    if (info->lapses < 2 && info->direct_failures == 0) return;
     info->give_up = true;
     Log(LogLine::Level::kInfo, "giving up " + report.machine + ": it does not hear us");
     Touch(part);
@@ -189,6 +186,8 @@
     if (start ? there : !there || !ended) ++done;
   }
   info->unheeded = done > 0 ? 0 : info->unheeded + 1;
+  if (done > 0) info->lapses = 0;
+  if (info->unheeded >= kMostUnheeded) info->probe = true;
   info->ordered.clear();
 }
 
@@ -249,8 +248,7 @@
   if (!direct) {
     CheckHeeded(now, part, &info, report, new_session);
   } else {
-    info.unheeded = 0;  // it answered
-    info.answered_since = 0;
+    info.unheeded = info.lapses = 0;  // it answered
     info.ordered.clear();
   }
   info.session = report.session;
@@ -258,7 +256,8 @@
   info.token_seen = std::max(info.token_seen, report.token);
   info.heard = now;
   info.quiet_since = 0;
-  info.probe = false;
+  info.probe = info.probe && !direct;
+  if (info.unheeded == 0) info.probe = false;
   if (info.first_heard == 0) {
     // It has just booted: what failed before then says nothing.
     info.first_heard = now;
@@ -458,7 +457,7 @@
   if (machine == p.roster.machines.end() || !p.mine) return;
   MachineInfo& info = machines_[name];
   if (info.direct_busy || info.addr.empty() || now < info.no_direct_before) return;
-  if (info.session == 0) {
+  if (info.session == 0 || (info.probe && info.unheeded >= kMostUnheeded)) {
     Probe(now, part, name);
     return;
   }
--- a/tests/stories_test.cc
+++ b/tests/stories_test.cc
@@ -512,5 +512,296 @@
   EXPECT_EQ(w.returns, 2);
 }
 
+TEST(Stories, AMachineThatDoesNotHearIsSetAsideAndItsTasksMove) {
+  World w;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 4)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 4; }, 30 * kSecond));
+  FakeWorker* with = nullptr;
+  for (auto& [n, x] : w.workers) {
+    if (x->Has("job-5")) with = x.get();
+  }
+  with->unhearing = true;
+  // Its lease ends by itself; the tasks start elsewhere after that is known.
+  EXPECT_TRUE(w.Until([&] { return with->dead; }, 60 * kSecond));
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 4; }, 10 * kSecond));
+  // And it was not given new work again and again meanwhile.
+  w.AskUntil(1, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-6", 2)));
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-6") == 2; }, 20 * kSecond));
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, LateCopiesOfReportsProveAndReviveNothing) {
+  World w;
+  w.run_time["job-1"] = 8 * kSecond;
+  w.Run(kReady);
+  w.keep_reports = true;
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 4)));
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 6)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 4; }, 30 * kSecond));
+  w.Run(3 * kSecond);
+  auto copies = w.kept;
+  auto deliver = [&] {
+    for (const auto& [name, body] : copies) {
+      for (size_t n = 0; n < 3; ++n) {
+        if (w.alive(n)) w.Ask(n, "POST", "/v1/report", body);
+      }
+    }
+  };
+  int starts = 0;
+  for (auto& [n, x] : w.workers) starts += x->starts;
+  // Seconds late, over a takeover, over a restart, and well over a lease late.
+  deliver();
+  w.Run(3 * kSecond);
+  w.Kill(0);
+  w.Run(5 * kSecond);
+  deliver();
+  w.Start(0);
+  w.Run(200 * kMilli);
+  deliver();
+  w.Run(40 * kSecond);
+  deliver();
+  w.Run(2 * kSecond);
+  EXPECT_EQ(w.OnMachines("job-5"), 4);
+  int after = 0;
+  for (auto& [n, x] : w.workers) after += x->starts;
+  EXPECT_LE(after - starts, 6);  // the array's; no replica a second time
+  // A machine that fell silent is not kept alive by copies of its reports.
+  FakeWorker* with = nullptr;
+  for (auto& [n, x] : w.workers) {
+    if (!x->dead && x->Has("job-5")) with = x.get();
+  }
+  ASSERT_NE(with, nullptr);
+  with->silent = true;
+  EXPECT_TRUE(w.Until(
+      [&] {
+        deliver();
+        w.Run(kSecond);
+        return with->dead;
+      },
+      25 * kSecond));
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 4; }, 20 * kSecond));
+  // Nor is one that went back taken for a machine.
+  deliver();
+  w.Run(40 * kSecond);
+  for (int p = 0; p < 3; ++p) {
+    EXPECT_EQ(w.core(0).RosterOf(p).machines.count(with->name), 0u);
+  }
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, ANodeLeftWithItsWorkersOnlyStopsInTime) {
+  World w;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 6)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 6; }, 30 * kSecond));
+  int part = -1;
+  for (int p = 0; p < 3; ++p) {
+    if (!w.core(0).RosterOf(p).machines.empty()) part = p;
+  }
+  ASSERT_GE(part, 0);
+  const auto cut = static_cast<size_t>(w.OwnerOf(part));
+  int starts = 0;
+  for (auto& [n, x] : w.workers) starts += x->starts;
+  w.cut_from_state = {cut};
+  w.cut_from_mesh = {cut};
+  w.Run(15 * kSecond);
+  // Another one has its part, the workers follow the higher token, and nothing
+  // had to start again.
+  EXPECT_NE(w.OwnerOf(part), static_cast<int>(cut));
+  EXPECT_EQ(w.OnMachines("job-5"), 6);
+  // What a sibling accepts now is obeyed, though the cut node cannot know.
+  const size_t other = (cut + 1) % 3;
+  EXPECT_EQ(w.AskUntil(other, "POST", "/api/jobs/job-5/abort").body.value("status", ""),
+            "cancelled");
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 0; }, w.settings.cancel));
+  w.cut_from_state.clear();
+  w.cut_from_mesh.clear();
+  w.Run(10 * kSecond);
+  EXPECT_EQ(w.OnMachines("job-5"), 0);
+  int after = 0;
+  for (auto& [n, x] : w.workers) after += x->starts;
+  EXPECT_EQ(after, starts);
+  EXPECT_EQ(Status(w, cut, "job-5"), "cancelled");
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, AProcessMayBeBackWithinAFractionOfASecond) {
+  // Also while a claim changes hands; what it sent before arrives late.
+  for (int moment = 0; moment < 24; ++moment) {
+    World w;
+    w.run_time["job-1"] = 4 * kSecond;
+    w.Run(kReady);
+    int n = 0;
+    w.lose = [&](size_t, const Call& call) {
+      return (call.target == "/commit" || call.target == "/commands") && ++n % 5 == 0;
+    };
+    w.Submit(0, World::Array("job-1", 6));
+    w.Submit(1, World::Service("job-2", 2));
+    w.Run(300 * kMilli + moment * 130 * kMilli);
+    const auto first = static_cast<size_t>(moment % 3);
+    w.Kill(first);
+    w.Run((moment % 4) * 90 * kMilli);
+    w.Start(first);
+    w.Run((moment % 5) * 60 * kMilli);
+    // Mid-claim: its part has no owner, or the one that takes it goes as well.
+    w.Kill((first + 1) % 3);
+    w.Run(3 * kSecond + (moment % 3) * 40 * kMilli);
+    w.Kill(first);
+    w.Run(50 * kMilli);
+    w.Start(first);
+    w.Start((first + 1) % 3);
+    w.DeliverHeld();
+    w.lose = nullptr;
+    w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 6)));
+    w.AskUntil(1, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-2", 2)));
+    EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-2") == 2; }, 60 * kSecond)) << moment;
+    EXPECT_TRUE(w.Until(
+        [&] {
+          w.Run(500 * kMilli);
+          return Status(w, 2, "job-1") == "done";
+        },
+        90 * kSecond))
+        << moment;
+    ASSERT_TRUE(w.broken.empty()) << w.broken.front() << " at moment " << moment;
+  }
+}
+
+TEST(Stories, TheLargestJobBeginsWhileSmallOnesKeepComing) {
+  World w;
+  w.capacity = 0;
+  for (int i = 0; i < 3; ++i) w.AddWorker("small");
+  w.Run(2 * kReady);
+  int id = 1000;
+  for (int i = 0; i < 12; ++i) {
+    JobSpec small = World::Array("job-" + std::to_string(++id), 2);
+    small.estimate = 10 * kSecond;
+    for (auto& [n, x] : w.workers) x->run_time[small.id] = 10 * kSecond;
+    w.Submit(static_cast<size_t>(i % 3), small);
+  }
+  JobSpec large = World::Array("job-9", 60);
+  large.estimate = 60 * kSecond;
+  for (auto& [n, x] : w.workers) x->run_time[large.id] = 60 * kSecond;
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(large));
+  const Micros came = w.now;
+  // More small work than the machines can do, without end.
+  while (w.OnMachines("job-9") == 0 && w.now - came < 240 * kSecond) {
+    for (int i = 0; i < 3; ++i) {
+      JobSpec small = World::Array("job-" + std::to_string(++id), 4);
+      small.estimate = 10 * kSecond;
+      for (auto& [n, x] : w.workers) x->run_time[small.id] = 10 * kSecond;
+      w.Submit(static_cast<size_t>(i), small);
+    }
+    w.Run(2 * kSecond);
+  }
+  EXPECT_GT(w.OnMachines("job-9"), 0);
+  EXPECT_LT(w.now - came, 240 * kSecond);
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, ATeamWithinItsGuaranteeIsServedBesideOneThatFloods) {
+  World w;
+  w.capacity = 0;
+  for (int i = 0; i < 3; ++i) w.AddWorker("small");
+  w.Run(2 * kReady);
+  int id = 1000;
+  for (int i = 0; i < 40; ++i) {
+    JobSpec flood = World::Array("job-" + std::to_string(++id), 6);  // team blue, no guarantee
+    for (auto& [n, x] : w.workers) x->run_time[flood.id] = 10 * kSecond;
+    w.Submit(static_cast<size_t>(i % 3), flood);
+  }
+  w.Run(10 * kSecond);
+  int served = 0;
+  for (int i = 0; i < 8; ++i) {
+    JobSpec spec = World::Array("job-" + std::to_string(i + 1), 4);
+    spec.team = "red";  // 16 cpus guaranteed: all four tasks
+    for (auto& [n, x] : w.workers) x->run_time[spec.id] = 5 * kSecond;
+    w.AskUntil(static_cast<size_t>(i % 3), "POST", "/api/jobs", wire::EncodeSubmission(spec));
+    served += w.Until([&] { return w.OnMachines(spec.id) > 0; }, 25 * kSecond) ? 1 : 0;
+    w.Run(10 * kSecond);
+  }
+  EXPECT_GE(served, 7);
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, EveryAcceptedJobIsAnsweredForOnceTroublesAreOver) {
+  World w;
+  w.Run(kReady);
+  // Alone of its kind in its part, the largest, and one of the last moment.
+  w.AddWorker("small");
+  JobSpec large = World::Array("job-77", 3000);
+  JobSpec last = World::Service("job-88", 1);
+  last.team = "red";
+  EXPECT_EQ(w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(large)).status, 201);
+  w.Run(5 * kSecond);
+  w.cut_from_state = {0};
+  w.mesh_down = true;
+  w.Run(5 * kSecond);
+  EXPECT_EQ(w.AskUntil(1, "POST", "/api/jobs", wire::EncodeSubmission(last)).status, 201);
+  for (size_t n = 0; n < 3; ++n) w.Kill(n);
+  w.Run(20 * kSecond);
+  w.cut_from_state.clear();
+  w.mesh_down = false;
+  for (size_t n = 0; n < 3; ++n) w.Start(n);
+  w.Run(20 * kSecond);
+  for (size_t n = 0; n < 3; ++n) {
+    for (const char* id : {"job-77", "job-88"}) {
+      auto a = w.Ask(n, "GET", std::string("/api/jobs/") + id);
+      EXPECT_TRUE(w.Until([&] { return a->status != -100; }, 2 * kSecond));
+      EXPECT_EQ(a->status, 200) << id << " at node " << n;
+    }
+  }
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-88") == 1; }, 60 * kSecond));
+  EXPECT_GT(w.OnMachines("job-77"), 0);
+  EXPECT_KEPT(w);
+}
+
+// Hundreds of machines and thousands of tasks. What is bounded is counted work,
+// not time.
+TEST(FullSize, WorkIsDoneForWhatChanged) {
+  World w;
+  w.capacity = 0;
+  for (int i = 0; i < 300; ++i) w.AddWorker("small");
+  for (auto& [n, x] : w.workers) x->lease_from = x->next_report = w.now + 2 * kSecond;
+  w.Run(6 * kSecond);
+  size_t adopted = 0;
+  for (int p = 0; p < 3; ++p) adopted += w.core(0).RosterOf(p).machines.size();
+  EXPECT_EQ(adopted, 300u);
+  int tasks = 0;
+  for (int j = 0; j < 60; ++j) {
+    JobSpec spec = World::Array("job-" + std::to_string(100 + j), 20);
+    spec.each = {4000, 0, 8000};
+    for (auto& [n, x] : w.workers) x->run_time[spec.id] = 12 * kSecond;
+    w.Submit(static_cast<size_t>(j % 3), spec);
+    tasks += 20;
+    w.Run(100 * kMilli);
+  }
+  int most = 0;
+  for (int s = 0; s < 40; ++s) {
+    w.Run(kSecond);
+    int on = 0;
+    for (auto& [n, x] : w.workers) on += static_cast<int>(x->tasks.size());
+    most = std::max(most, on);
+  }
+  int started = 0;
+  for (auto& [n, x] : w.workers) started += x->starts;
+  EXPECT_EQ(started, tasks);
+  EXPECT_GT(most, 600);
+  uint64_t puts = 0, commits = 0, rounds = 0, oversized = 0;
+  for (size_t n = 0; n < 3; ++n) {
+    const Counters& c = w.core(n).counters();
+    puts += c.puts;
+    commits += c.commits;
+    rounds += c.rounds;
+    oversized += c.oversized;
+  }
+  // 60 submissions, 60 ends; the rest are rosters and progress, many tasks in each.
+  EXPECT_LT(puts, 700u);
+  EXPECT_LT(commits, 400u);
+  EXPECT_LT(rounds, 53u * 3 * 20);  // paced, not one for each of some 9,000 reports
+  EXPECT_EQ(oversized, 0u);
+  EXPECT_KEPT(w);
+}
+
 }  // namespace
 }  // namespace troutlink::test
--- a/tests/units_test.cc
+++ b/tests/units_test.cc
@@ -5,6 +5,7 @@
 
 #include "base/ids.h"
 #include "config/settings.h"
+#include "core/budget.h"
 #include "core/health.h"
 #include "core/placement.h"
 #include "core/quota.h"
@@ -136,6 +137,49 @@
   EXPECT_EQ(Movable({10, 0}, {12, 0}, {9, 0}).cpus, 0);
 }
 
+TEST(Budget, LetsMoreThanItsBurstThroughAndWorksItOff) {
+  // A commit of more writes than the bucket holds once waited for ever.
+  Budget b(10, 15);
+  EXPECT_TRUE(b.Take(kSecond, 20, 4));
+  EXPECT_FALSE(b.Take(kSecond + 500 * kMilli, 1));
+  EXPECT_TRUE(b.Take(3 * kSecond, 1));
+}
+
+TEST(Records, OneMoreChunkDividesOneAndLeavesTheOthers) {
+  for (int chunks = 1; chunks < 20; ++chunks) {
+    for (int i = 0; i < 500; ++i) {
+      std::string name = "n-" + std::to_string(i);
+      int before = ChunkOf(name, chunks), after = ChunkOf(name, chunks + 1);
+      ASSERT_LT(after, chunks + 1);
+      if (before != after) {
+        EXPECT_EQ(before, SplitChunk(chunks));
+        EXPECT_EQ(after, chunks);
+      }
+    }
+  }
+}
+
+TEST(Records, ALargeRosterFitsFewValues) {
+  Roster r;
+  for (int i = 0; i < 150; ++i) {
+    RosterMachine m;
+    m.name = "n-000" + std::to_string(100 + i);
+    m.addr = "10.1.0." + std::to_string(i) + ":9000";
+    m.type = "large-type";
+    m.zone = "zone-name";
+    for (int k = 0; k < 5; ++k) {
+      m.attempts.push_back(
+          {"job-000" + std::to_string(400 + k), i, 90000u + static_cast<uint64_t>(i)});
+    }
+    r.machines[m.name] = m;
+  }
+  EXPECT_LT(StoredSize(EncodeChunk(r, 0)), 16 * 1024);
+  // Damage is noticed, not read.
+  std::string bad = EncodeChunk(r, 0);
+  Roster back;
+  EXPECT_FALSE(DecodeChunk(bad.substr(0, bad.size() / 2), 0, &back));
+}
+
 TEST(Records, SurviveTheirRoundTrip) {
   Roster r;
   r.chunks = 3;
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -386,7 +386,7 @@
   }
   for (auto& [name, w] : workers) {
     if (w->addr != call.addr || w->dead) continue;
-    if (w->silent || cut_from_workers.count(node) != 0 || w->lease_from > now) {
+    if (w->silent || w->unhearing || cut_from_workers.count(node) != 0 || w->lease_from > now) {
       *hang = true;
       return {};
     }
@@ -452,6 +452,7 @@
   for (const PeerMessage& m : out.peers) {
     if (mesh_down) break;
     size_t to = static_cast<size_t>(m.to.back() - '0');
+    if (cut_from_mesh.count(node) != 0 || cut_from_mesh.count(to) != 0) continue;
     // Through the codec, as on the network.
     std::string frame = mesh::Encode(m.message);
     std::string_view in = frame;
@@ -522,6 +523,7 @@
     w->next_report = now + when;
   };
   std::string body = wire::EncodeReport(w->MakeReport());
+  if (keep_reports) kept.emplace_back(w->name, body);
   if (n.core == nullptr || cut_from_workers.count(node) != 0) {
     // Refused or hung: on to the next one.
     At(now + (n.core == nullptr ? 0 : 4 * kSecond),
@@ -531,6 +533,10 @@
   Request request{n.next_request++, "POST", "/v1/report", body};
   n.waiting[request.id] = [this, w, next, node, sent, session](const Reply& reply) {
     Json doc = wire::Unpack(reply.body).value_or(Json::object());
+    if (w->unhearing) {
+      next((node + 1) % nodes_.size(), 5 * kSecond);
+      return;
+    }
     if (reply.status == 200) {
       next(node, kReport);
       uint64_t token = doc.value("baton", uint64_t{0});
--- a/tests/world.h
+++ b/tests/world.h
@@ -63,6 +63,7 @@
 
   std::string name, addr, type, zone;
   bool spot = false, dead = false, fails_all = false, silent = false;
+  bool unhearing = false;  // its reports arrive, answers and commands do not reach it
   uint64_t session = 1, seq = 0, token = 0;
   std::map<std::pair<std::string, int>, Task> tasks;
   std::map<std::string, Micros> run_time;  // by job; 0: until stopped
@@ -107,12 +108,16 @@
   std::set<size_t> refused_by_state;  // these get 503
   std::set<size_t> cut_from_workers;
   bool state_busy = false;  // 429 to all but renewals and watches
-  bool mesh_down = false;   // siblings do not hear each other
+  std::set<size_t> cut_from_mesh;
+  bool mesh_down = false;  // siblings do not hear each other
   bool cloud_down = false;
   int capacity = 100;
   // Called for every call that a node sends; true: it is lost (no answer, but
   // `late` runs it at a later time if set).
   std::function<bool(size_t node, const Call& call)> lose;
+  // Copies of every report, for stories that deliver them late.
+  bool keep_reports = false;
+  std::vector<std::pair<std::string, std::string>> kept;  // machine, body
   // Requests that were lost, to be delivered late.
   std::vector<std::pair<size_t, Call>> held;
   void DeliverHeld();
