--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -103,8 +103,13 @@
           auto info = machines_.find(m.name);
           has_image = info != machines_.end() && info->second.images.count(spec.image) != 0;
         }
-        for (Amount rest = left; has_image && room.warm < spec.tasks && spec.each.Fits(rest) &&
-                                 spec.each.cpus > 0 && Allowed(spec, warm_spread, probe);) {
+        if (has_image) {
+          room.warm_soon += static_cast<int>(
+              std::min<int64_t>(spec.tasks, spec.each.cpus > 0 ? left.cpus / spec.each.cpus : 1));
+        }
+        for (Amount rest = type->size - use.all; has_image && room.warm < spec.tasks &&
+                                                 spec.each.Fits(rest) && spec.each.cpus > 0 &&
+                                                 Allowed(spec, warm_spread, probe);) {
           rest -= spec.each;
           ++warm_spread.by_zone[m.zone];
           ++room.warm;
@@ -139,7 +144,9 @@
     score[p] = room.now_free;
     if (spec.kind != JobKind::kArray) score[p] += 1e8 * room.placeable / spec.tasks;
     // A replica starts at once only where its image is.
-    if (spec.kind == JobKind::kService) score[p] += 1e7 * room.warm / spec.tasks;
+    if (spec.kind == JobKind::kService) {
+      score[p] += 1e7 * (room.warm + 0.2 * std::min(room.warm_soon, spec.tasks)) / spec.tasks;
+    }
     // Nobody owns it at the moment: it would wait for a takeover.
     if (!room.owned) score[p] -= 1e12;
   }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -202,7 +202,8 @@
     double waiting = 0;  // cpus that wait there and come first
     double now_free = 0;
     int placeable = 0;   // tasks that could start now
-    int warm = 0;        // the same where its image is
+    int warm = 0;        // the same where its image is and nothing has to make way
+    int warm_soon = 0;   // and with what makes way for it
     bool owned = false;  // by a node that lives
   };
   std::vector<Room> RoomsFor(const JobSpec& spec);
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -81,9 +81,9 @@
                   const PlaceIndex& index) {
   const JobSpec& spec = *r.spec;
   const bool service = spec.kind == JobKind::kService;
-  // Work that saves nothing is stopped within moments: it may use the room that
-  // is kept for services, and makes way for them.
-  const bool soft = spec.checkpoint == 0;
+  // Work that saves nothing is stopped within moments: where room is scarce it may
+  // use what is kept for services, and makes way for them.
+  const bool soft = r.lend && spec.checkpoint == 0;
   const bool keeps_room = !service && !soft && !r.tail && spec.priority != Priority::kProduction;
   int best = -1;
   double best_score = 0;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -103,10 +103,12 @@
 struct PlaceRequest {
   const JobSpec* spec = nullptr;
   const JobSpread* spread = nullptr;
-  bool tail = false;                   // prefers steady machines, may use headroom
-  int64_t steady_headroom = 0;         // cpus to leave free on steady machines
-  int64_t zone_headroom = 0;           // the same in each zone, for services that spread
-  int64_t image_headroom = 0;          // the same where each service's image is
+  bool tail = false;            // prefers steady machines, may use headroom
+  int64_t steady_headroom = 0;  // cpus to leave free on steady machines
+  int64_t zone_headroom = 0;    // the same in each zone, for services that spread
+  int64_t image_headroom = 0;   // the same where each service's image is
+  // Work that saves nothing may use that room, as it is stopped within moments.
+  bool lend = true;
   const std::string* avoid = nullptr;  // a machine to keep away from
 };
 
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -25,10 +25,11 @@
 // A transaction's limit as the platform's protocol states it, with some room
 // left for its frame.
 constexpr int64_t kMostTxnBytes = 62 * 1024;
-constexpr int64_t kMostChunkBytes = 10 * 1024;
-constexpr int kMostChunksAtOnce = 5;
+constexpr int64_t kMostChunkBytes = 13 * 1024;
+constexpr int kMostChunksAtOnce = 4;
 constexpr int kMostChunks = 1024;
 constexpr int kMostPreemptions = 8;
+constexpr int64_t kLendBelow = 10;  // steady cpus for each that is kept free
 // Chunks whose stored content differs between two states of a roster.
 std::set<int> ChangedChunks(const Roster& before, const Roster& after) {
   std::set<int> out;
@@ -476,6 +477,22 @@
   const int64_t zone_headroom =
       SpreadServices(part) ? headroom / static_cast<int64_t>(std::max<size_t>(1, s_.zones.size()))
                            : 0;
+  // Stopping lent work takes its time, some of which a service start does not
+  // have: where the room that is kept is small beside all there is, it stays free.
+  int64_t steady = 0, largest = 0;
+  for (const PlaceMachine& m : draft->machines) {
+    if (m.usable && !m.spot) steady += m.size.cpus;
+  }
+  const bool lend = headroom * kLendBelow > steady;
+  for (const auto& [id, run] : runs_) {
+    const JobEntry* job = run.part == part ? FindJob(id) : nullptr;
+    if (job == nullptr || job->record.spec.kind != JobKind::kService) continue;
+    largest = std::max(largest, job->record.spec.tasks * job->record.spec.each.cpus);
+  }
+  // With room to spare, half of the largest service finds its image at once.
+  int64_t image_headroom =
+      headroom > 0 ? static_cast<int64_t>(1000 * s_.op.image_headroom_cpus()) : 0;
+  if (!lend) image_headroom = std::max(image_headroom, std::min(largest / 2, headroom));
   int preemptions = 0;
   std::set<std::string> no_room;  // shapes that found no machine in this round
   for (const Waiting& w : waiting) {
@@ -508,8 +525,8 @@
     request.tail = tail;
     request.steady_headroom = headroom;
     request.zone_headroom = zone_headroom;
-    request.image_headroom =
-        headroom > 0 ? static_cast<int64_t>(1000 * s_.op.image_headroom_cpus()) : 0;
+    request.image_headroom = image_headroom;
+    request.lend = lend;
     // An array of the same shape found no machine a moment ago: nor will this one.
     const std::string shape =
         spec.kind != JobKind::kArray || spec.spread || spec.one_zone || tail ? "" : ShapeOf(spec);
