--- a/src/core/core.h
+++ b/src/core/core.h
@@ -367,6 +367,7 @@
   void TakeMachines(Micros now);
   void SendHire(Micros now, int part, const std::string& request);
   void SendReturns(Micros now, int part);
+  std::set<std::string> ZonesCutOff(Micros now) const;
   void JudgeMachines(Micros now, int part);
   const MachineType* TypeOf(const std::string& name) const;
   // The cheapest type and zone of a kind that fits `each` and is not paused.
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -12,6 +12,7 @@
 constexpr Micros kCloudTimeout = 5 * kSecond;
 constexpr Micros kTypesPeriod = 60 * kSecond;
 constexpr Micros kJudgePeriod = 250 * kMilli;
+constexpr double kSlowBoot = 1.8;  // of the usual boot time
 constexpr Micros kStrayAfter = 20 * kSecond;
 // Room in a zone, in thousandths of cpus, that counts as having a place there.
 constexpr int64_t kZoneRoom = 4000;
@@ -192,7 +193,11 @@
     if (type == nullptr || m.leaving) continue;
     bool up = info != machines_.end() && info->second.first_heard != 0;
     bool lost = info != machines_.end() && (info->second.give_up || info->second.failed);
-    if (!up && !lost) coming.push_back({m.type, m.zone, m.helps, m.spot, type->size});
+    // One that should have been up long ago is no room to count on.
+    bool stuck =
+        info != machines_.end() && info->second.since != 0 &&
+        now - info->second.since > static_cast<Micros>(kSlowBoot * static_cast<double>(type->boot));
+    if (!up && !lost && !stuck) coming.push_back({m.type, m.zone, m.helps, m.spot, type->size});
   }
   for (const auto& [id, h] : draft->roster.hires) {
     const MachineType* type = TypeOf(h.ask.type);
@@ -692,6 +697,37 @@
   });
 }
 
+// Zones that are cut off from us as a whole: neither the siblings in them nor
+// nearly any of their machines are heard, while others are.
+std::set<std::string> Core::ZonesCutOff(Micros now) const {
+  std::map<std::string, std::pair<int, int>> machines;  // by zone: all, silent
+  std::set<std::string> out;
+  for (const Sibling& sibling : s_.siblings) {
+    const Peer& peer = peers_.at(sibling.label);
+    if (sibling.zone == s_.zone || now - peer.heard < 3 * s_.report) continue;
+    out.insert(sibling.zone);
+  }
+  for (const Sibling& sibling : s_.siblings) {
+    if (now - peers_.at(sibling.label).heard < 3 * s_.report) out.erase(sibling.zone);
+  }
+  if (out.empty()) return out;
+  for (const Part& p : parts_) {
+    if (!p.mine) continue;
+    for (const auto& [name, m] : p.roster.machines) {
+      auto info = machines_.find(name);
+      if (info == machines_.end() || info->second.first_heard == 0) continue;
+      auto& [all, silent] = machines[m.zone];
+      ++all;
+      if (now - std::max(info->second.heard, info->second.since) > 3 * s_.report) ++silent;
+    }
+  }
+  std::erase_if(out, [&](const std::string& zone) {
+    auto [all, silent] = machines[zone];
+    return all == 0 || silent * 10 < all * 8;
+  });
+  return out;
+}
+
 // Finds machines that are lost, idle or about to be taken.
 void Core::JudgeMachines(Micros now, int part) {
   Part& p = parts_[static_cast<size_t>(part)];
@@ -705,6 +741,7 @@
   some_silent_ = some_silent_ || silent_ones > 0;
   // When most fall silent at once, it is rather we who cannot hear.
   const bool deaf = total >= 3 && silent_ones * 10 > total * 6;
+  const std::set<std::string> cut = ZonesCutOff(now);
   for (const auto& [name, m] : p.roster.machines) {
     MachineInfo& info = machines_[name];
     const MachineType* type = TypeOf(m.type);
@@ -713,7 +750,9 @@
     bool lost = info.failed;
     if (info.missing && silent > 3 * s_.report / 2) lost = true;
     // By then it has ended its tasks itself, so that giving it back ends none.
-    Micros patience = Longest(s_.lease) + 300 * kMilli;
+    // In a zone that is cut off, a sibling may be keeping leases alive, for as long
+    // as no cancel can be overrun: what runs there is not ended by us sooner.
+    Micros patience = Longest(cut.count(m.zone) != 0 ? s_.cancel : s_.lease) + 300 * kMilli;
     if (info.first_heard != 0 && silent > patience && !deaf) lost = true;
     if (info.first_heard == 0 && type != nullptr) {
       Micros boot = static_cast<Micros>(s_.op.boot_patience() * static_cast<double>(type->boot));
