--- a/src/core/core.h
+++ b/src/core/core.h
@@ -331,7 +331,7 @@
   void ChooseWindow(Part* p, Draft* draft) const;
   static void Withdraw(Draft* draft, const JobSpec& spec, size_t begun);
   static std::string ShapeOf(const JobSpec& spec);
-  void LookElsewhere(Micros now, int part, Draft* draft) const;
+  void LookElsewhere(Micros now, int part, Draft* draft);
   void DraftFleet(Micros now, int part, Draft* draft);
   void DraftTail(Micros now, int part, Draft* draft);
   void DraftPlacement(Micros now, int part, Draft* draft);
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -719,11 +719,15 @@
 }
 
 // Free machines of other parts that may be taken now.
-void Core::LookElsewhere(Micros now, int part, Draft* draft) const {
+void Core::LookElsewhere(Micros now, int part, Draft* draft) {
   draft->looked_elsewhere = true;
+  const Waits& waits = WaitingCpus();
   for (int q = 0; q < s_.parts(); ++q) {
     const Part& other = parts_[static_cast<size_t>(q)];
     if (q == part || other.chunks.count(0) == 0 || other.committing) continue;
+    // What waits there is about to use them: a first wave of jobs once took a
+    // part's machines away before it could decide, and left it with its services.
+    if (waits[static_cast<size_t>(q)][0] > 0) continue;
     for (const auto& [name, m] : other.roster.machines) {
       if (!m.attempts.empty() || m.leaving || !m.helps.empty()) continue;
       if (m.addr.empty() || !draft->MayChange(name)) continue;  // still booting
