--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -89,6 +89,7 @@
       const MachineType* type = TypeOf(m.type);
       if (type == nullptr || m.leaving || !m.helps.empty()) continue;
       if (!TypeAllowed(spec, m.type, m.spot)) continue;
+      if (spec.each.Fits(type->size)) ++room.machines;
       // What it may push aside is room for a critical job.
       Amount left = type->size - (critical ? use.critical : use.all);
       if (left.cpus > 0) room.free += static_cast<double>(left.cpus);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -202,6 +202,7 @@
     double waiting = 0;  // cpus that wait there and come first
     double now_free = 0;
     int placeable = 0;   // tasks that could start now
+    int machines = 0;    // that a task fits on once they are empty
     int warm = 0;        // the same where its image is and nothing has to make way
     int warm_soon = 0;   // and with what makes way for it
     bool owned = false;  // by a node that lives
@@ -329,6 +330,7 @@
   };
   struct Draft;
   void ChooseWindow(Part* p, Draft* draft) const;
+  static void Reserve(Draft* draft, const JobSpec& spec);
   static void Withdraw(Draft* draft, const JobSpec& spec, size_t begun);
   static std::string ShapeOf(const JobSpec& spec);
   void LookElsewhere(Micros now, int part, Draft* draft);
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -380,6 +380,15 @@
     run->move_at = now + kMovePatience;
     std::vector<Room> rooms = RoomsFor(spec);
     int best = -1;
+    if (rooms[static_cast<size_t>(part)].machines == 0 &&
+        now - run->unmet_since > FromSeconds(s_.op.starve_s()) / 2) {
+      // No machine here could ever take it: to a part that can wait for one.
+      for (int q = 0; q < s_.parts(); ++q) {
+        const Room& room = rooms[static_cast<size_t>(q)];
+        if (!room.owned || room.machines == 0) continue;
+        if (best < 0 || room.machines > rooms[static_cast<size_t>(best)].machines) best = q;
+      }
+    }
     for (int q = 0; q < s_.parts(); ++q) {
       const Room& room = rooms[static_cast<size_t>(q)];
       if (q == part || !room.owned || room.placeable < std::min(spec.tasks, 8)) continue;
@@ -402,9 +411,10 @@
     int tasks;
     bool within;
     bool late;
-    bool aged;
+    int aged;  // times it has waited too long already, 2 at most
     Micros key;
     double work;  // cpu seconds that wait
+    Micros submitted;
     int moves;
   };
   std::map<std::string, Share> everywhere = draft->use.teams;  // over all parts
@@ -437,12 +447,17 @@
     Micros key = LatestStart(job->record);
     // Whatever the order, nothing waits for ever: what has waited long without a
     // single start comes first.
-    bool aged = run.done + run.placed == 0 &&
-                WallNow(now) - job->record.submitted > FromSeconds(s_.op.starve_s());
+    const Micros starve = FromSeconds(s_.op.starve_s());
+    int aged = 0;
+    if (run.done + run.placed == 0 && starve > 0) {
+      aged = static_cast<int>(
+          std::clamp<Micros>((WallNow(now) - job->record.submitted) / starve, 0, 2));
+    }
     bool late = spec.kind != JobKind::kService && key < WallNow(now);
     if (late) key = job->record.submitted;
     double work = static_cast<double>(left * spec.each.cpus) / 1000 * ToSeconds(spec.estimate);
-    waiting.push_back({&spec, &run, left, within, late, aged, key, work, job->record.moves});
+    waiting.push_back({&spec, &run, left, within, late, aged, key, work, job->record.submitted,
+                       job->record.moves});
   }
   // The recent peak fades within a minute, and to nothing: a share of it that
   // only dwindled would keep a last machine for long.
@@ -462,8 +477,9 @@
   const bool overload = backlog > capacity * s_.op.overload_s();
   std::sort(waiting.begin(), waiting.end(), [overload](const Waiting& a, const Waiting& b) {
     if (a.spec->priority != b.spec->priority) return a.spec->priority > b.spec->priority;
-    if (a.aged != b.aged) return a.aged;
     if (a.within != b.within) return a.within;
+    if (a.aged != b.aged) return a.aged > b.aged;
+    if (a.aged == 2 && a.submitted != b.submitted) return a.submitted < b.submitted;
     if (a.late != b.late) return b.late;
     if (overload && a.work != b.work) return a.work < b.work;
     if (a.key != b.key) return a.key < b.key;
@@ -601,6 +617,7 @@
     if (no_machine && left > 0) {
       draft->unmet.push_back({&spec, left, tail});
       if (w.run->unmet_since == 0) w.run->unmet_since = now;
+      if (w.aged > 0 && draft->started.size() == begun) Reserve(draft, spec);
       if (spec.priority == Priority::kProduction && now - p.explained_at > kSecond) {
         p.explained_at = now;
         Log(LogLine::Level::kDebug,
@@ -615,6 +632,23 @@
   p.batch = started >= batch ? std::min(batch * 2, s_.op.batch_most()) : s_.op.batch();
 }
 
+// For a job that has waited too long: its tasks need more room than what is left
+// wherever smaller ones keep filling up. The machine with most room takes nothing
+// else until one of them fits.
+void Core::Reserve(Draft* draft, const JobSpec& spec) {
+  PlaceMachine* best = nullptr;
+  const JobSpread& spread = draft->SpreadOf(spec);
+  for (PlaceMachine& m : draft->machines) {
+    if (!m.usable || !m.helps.empty() || !spec.each.Fits(m.size) || !Allowed(spec, spread, m)) {
+      continue;
+    }
+    if (best == nullptr || m.free.cpus > best->free.cpus) best = &m;
+  }
+  if (best == nullptr) return;
+  draft->index.Remove(*best);
+  best->usable = false;
+}
+
 // Takes back what was placed of a job since `begun`.
 void Core::Withdraw(Draft* draft, const JobSpec& spec, size_t begun) {
   while (draft->started.size() > begun) {
--- a/tests/stories_test.cc
+++ b/tests/stories_test.cc
@@ -699,6 +699,35 @@
   EXPECT_KEPT(w);
 }
 
+TEST(Stories, AWideTaskFindsRoomBesideNarrowOnesThatKeepComing) {
+  // Narrow tasks end one by one and refill each gap: without a reservation there
+  // is never room for a task that takes a whole machine.
+  World w;
+  w.capacity = 0;
+  for (int i = 0; i < 3; ++i) w.AddWorker("small");
+  w.Run(2 * kReady);
+  int id = 1000;
+  auto narrow = [&](int n) {
+    for (int i = 0; i < n; ++i) {
+      JobSpec spec = World::Array("job-" + std::to_string(++id), 1);
+      spec.estimate = 10 * kSecond;
+      for (auto& [name, x] : w.workers) x->run_time[spec.id] = (7 + id % 7) * kSecond;
+      w.Submit(static_cast<size_t>(i % 3), spec);
+    }
+  };
+  narrow(40);
+  JobSpec wide = World::Array("job-9", 2);
+  wide.each = {16000, 0, 32000};
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(wide));
+  const Micros came = w.now;
+  while (w.OnMachines("job-9") == 0 && w.now - came < 240 * kSecond) {
+    narrow(4);
+    w.Run(2 * kSecond);
+  }
+  EXPECT_LT(w.now - came, 240 * kSecond);
+  EXPECT_KEPT(w);
+}
+
 TEST(Stories, ATeamWithinItsGuaranteeIsServedBesideOneThatFloods) {
   World w;
   w.capacity = 0;
