--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -21,6 +21,7 @@
 constexpr double kItemCost = 3;       // microseconds for a machine or an attempt
 constexpr double kRoundShare = 0.25;  // of the processor that we have
 constexpr int64_t kHurry = 3;         // rounds of critical work come so much sooner
+constexpr Micros kNoMachinePatience = 3 * kSecond;
 constexpr Micros kMovePatience = 500 * kMilli;
 // A transaction's limit as the platform's protocol states it, with some room
 // left for its frame.
@@ -380,8 +381,8 @@
     run->move_at = now + kMovePatience;
     std::vector<Room> rooms = RoomsFor(spec);
     int best = -1;
-    if (rooms[static_cast<size_t>(part)].machines == 0 &&
-        now - run->unmet_since > FromSeconds(s_.op.starve_s()) / 2) {
+    if (rooms[static_cast<size_t>(part)].machines == 0 && draft->roster.hires.empty() &&
+        now - run->unmet_since > kNoMachinePatience) {
       // No machine here could ever take it: to a part that can wait for one.
       for (int q = 0; q < s_.parts(); ++q) {
         const Room& room = rooms[static_cast<size_t>(q)];
