--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -412,7 +412,7 @@
     int tasks;
     bool within;
     bool late;
-    int aged;  // times it has waited too long already, 2 at most
+    bool aged;  // has waited too long without a start
     Micros key;
     double work;  // cpu seconds that wait
     Micros submitted;
@@ -449,11 +449,8 @@
     // Whatever the order, nothing waits for ever: what has waited long without a
     // single start comes first.
     const Micros starve = FromSeconds(s_.op.starve_s());
-    int aged = 0;
-    if (run.done + run.placed == 0 && starve > 0) {
-      aged = static_cast<int>(
-          std::clamp<Micros>((WallNow(now) - job->record.submitted) / starve, 0, 2));
-    }
+    const bool aged =
+        run.done + run.placed == 0 && starve > 0 && WallNow(now) - job->record.submitted > starve;
     bool late = spec.kind != JobKind::kService && key < WallNow(now);
     if (late) key = job->record.submitted;
     double work = static_cast<double>(left * spec.each.cpus) / 1000 * ToSeconds(spec.estimate);
@@ -479,8 +476,8 @@
   std::sort(waiting.begin(), waiting.end(), [overload](const Waiting& a, const Waiting& b) {
     if (a.spec->priority != b.spec->priority) return a.spec->priority > b.spec->priority;
     if (a.within != b.within) return a.within;
-    if (a.aged != b.aged) return a.aged > b.aged;
-    if (a.aged == 2 && a.submitted != b.submitted) return a.submitted < b.submitted;
+    if (a.aged != b.aged) return a.aged;
+    if (a.aged && a.submitted != b.submitted) return a.submitted < b.submitted;
     if (a.late != b.late) return b.late;
     if (overload && a.work != b.work) return a.work < b.work;
     if (a.key != b.key) return a.key < b.key;
@@ -511,6 +508,9 @@
       headroom > 0 ? static_cast<int64_t>(1000 * s_.op.image_headroom_cpus()) : 0;
   if (!lend) image_headroom = std::max(image_headroom, std::min(largest / 2, headroom));
   int preemptions = 0;
+  // Reserved machines stand partly idle: a few of them at a time.
+  size_t reserved = 0;
+  const size_t most_reserved = 1 + draft->machines.size() / 20;
   std::set<std::string> no_room;  // shapes that found no machine in this round
   for (const Waiting& w : waiting) {
     const JobSpec& spec = *w.spec;
@@ -618,7 +618,10 @@
     if (no_machine && left > 0) {
       draft->unmet.push_back({&spec, left, tail});
       if (w.run->unmet_since == 0) w.run->unmet_since = now;
-      if (w.aged > 0 && draft->started.size() == begun) Reserve(draft, spec);
+      if (w.aged && draft->started.size() == begun && reserved < most_reserved) {
+        ++reserved;
+        Reserve(draft, spec);
+      }
       if (spec.priority == Priority::kProduction && now - p.explained_at > kSecond) {
         p.explained_at = now;
         Log(LogLine::Level::kDebug,
