--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -17,6 +17,7 @@
 constexpr Micros kIdleRound = 250 * kMilli;
 constexpr Micros kWholePatience = 500 * kMilli;
 constexpr Micros kTakeAfter = 1500 * kMilli;
+constexpr Micros kTakeLate = 8 * kSecond;
 constexpr Micros kRoundPace = 15 * kMilli;
 constexpr double kItemCost = 3;       // microseconds for a machine or an attempt
 constexpr double kRoundShare = 0.25;  // of the processor that we have
@@ -378,7 +379,8 @@
     if (run->unmet_since == 0 || now - run->unmet_since < patience) continue;
     // Looking at all parts costs: each job asks now and then, a few in a round.
     if (now < run->move_at || ++asked > 4) continue;
-    run->move_at = now + kMovePatience;
+    run->move_at =
+        now + (spec.priority == Priority::kProduction ? kMovePatience / 5 : kMovePatience);
     std::vector<Room> rooms = RoomsFor(spec);
     int best = -1;
     if (rooms[static_cast<size_t>(part)].machines == 0 && draft->roster.hires.empty() &&
@@ -572,8 +574,12 @@
       bool fits = on >= 0 && !shape.empty() && draft->machines[static_cast<size_t>(on)].spot &&
                   spec.each.Fits(draft->machines[static_cast<size_t>(on)].free);
       if (!fits) on = ChooseMachine(request, draft->machines, draft->index);
-      if (on < 0 && (!whole || gang) && DraftTake(now, part, draft, spec)) {
-        on = ChooseMachine(request, draft->machines, draft->index);
+      if (on < 0) {
+        // A take that comes to nothing is undone with the rest.
+        if (whole && before == nullptr) before = std::make_unique<Draft>(*draft);
+        if (DraftTake(now, part, draft, spec)) {
+          on = ChooseMachine(request, draft->machines, draft->index);
+        }
       }
       if (on < 0) {
         no_machine = true;
@@ -600,11 +606,8 @@
       if (!whole) w.run->unmet_since = 0;
     }
     if (whole && left > 0) {
-      if (gang) {
-        *draft = std::move(*before);
-      } else {
-        Withdraw(draft, spec, begun);
-      }
+      if (before != nullptr) *draft = std::move(*before);
+      Withdraw(draft, spec, begun);
       started = static_cast<uint32_t>(draft->started.size());
       if (w.run->unmet_since == 0) w.run->unmet_since = now;
       if (no_machine) draft->unmet.push_back({&spec, w.tasks, tail});
@@ -765,12 +768,12 @@
     if (q == part || other.chunks.count(0) == 0 || other.committing) continue;
     // What waits there is about to use them: a first wave of jobs once took a
     // part's machines away before it could decide, and left it with its services.
-    if (waits[static_cast<size_t>(q)][0] > 0) continue;
+    const Micros after = waits[static_cast<size_t>(q)][0] > 0 ? kTakeLate : kTakeAfter;
     for (const auto& [name, m] : other.roster.machines) {
       if (!m.attempts.empty() || m.leaving || !m.helps.empty()) continue;
       if (m.addr.empty() || !draft->MayChange(name)) continue;  // still booting
       auto since = free_since_.find(name);
-      if (!other.mine && (since == free_since_.end() || now - since->second < kTakeAfter)) continue;
+      if (!other.mine && (since == free_since_.end() || now - since->second < after)) continue;
       if (other.mine) {
         auto info = machines_.find(name);
         if (info == machines_.end() || !Usable(now, m, info->second)) continue;
