--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -16,6 +16,7 @@
 constexpr size_t kMostQueries = 2000;
 constexpr Micros kWaitsAge = 40 * kMilli;
 constexpr int kRetryAfter = 1;
+constexpr uint64_t kRetrySpread = 4;
 // The state service usually answers within some ten milliseconds.
 constexpr Micros kForwardAfter = 100 * kMilli;
 constexpr Micros kForwardPatience = 2 * kSecond;
@@ -242,7 +243,9 @@
   // deep in debt, and otherwise lets the service itself say that it is too much.
   if (write_budget_.have() < -s_.write_rps / 2) {
     ++counters_.refused;
-    Answer(request.id, 429, wire::EncodeError("too many submissions"), kRetryAfter);
+    // Not all of them back at the same moment.
+    Answer(request.id, 429, wire::EncodeError("too many submissions"),
+           kRetryAfter + static_cast<int>(StableHash(spec->id) % kRetrySpread));
     return;
   }
   write_budget_.Force(now, 1);
@@ -290,7 +293,8 @@
     return;
   }
   if (!synced_ || queries_.size() >= kMostQueries) {
-    Answer(query.request, 503, wire::EncodeError("not ready"), kRetryAfter);
+    const int spread = synced_ ? static_cast<int>(StableHash(query.id) % kRetrySpread) : 0;
+    Answer(query.request, 503, wire::EncodeError("not ready"), kRetryAfter + spread);
     return;
   }
   queries_.push_back(std::move(query));
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -105,6 +105,7 @@
     uint64_t my_claim = 0;     // kept after a loss, to go on answering reports
     uint64_t rival_claim = 0;  // highest claim of another node that we know of
     std::string rival;
+    std::string last_owner;  // of the claims that we saw, other than ours
     Micros absent_since = 0;
     Micros claimed_at = 0;
     Micros no_claim_before = 0;
@@ -129,6 +130,7 @@
     Micros progress_at = 0;
     bool progress_dirty = false;
     uint32_t batch = 0;
+    Micros tell_at = 0;     // next line in the log of what it has
     int window_at = 0;      // the chunk whose turn it is
     int narrow = 0;         // rounds that decide little, after one that did not fit
     double peak = 0;        // of the cpus that arrays wanted, and when it was
@@ -323,12 +325,13 @@
   void SyncPart(Micros now, int part);
   Micros RoundPace(const Part& p) const;
   void RunRounds(Micros now);
+  struct Draft;
   void Round(Micros now, int part);
+  void Tell(int part, const Draft& draft);
   struct Offer {
     const MachineType* type = nullptr;
     std::string zone;
   };
-  struct Draft;
   void ChooseWindow(Part* p, Draft* draft) const;
   static void Reserve(Draft* draft, const JobSpec& spec);
   static void Withdraw(Draft* draft, const JobSpec& spec, size_t begun);
@@ -437,6 +440,7 @@
     Micros state_age = 0;              // at `heard`
     std::map<uint64_t, Micros> pings;  // in flight
     std::set<uint64_t> holds;          // parts that it says are its own
+    std::set<std::string> quiet;       // machines that it missed when it last spoke
   };
   std::map<std::string, Peer> peers_;
   Micros now_ = 0;  // of the last tick
@@ -472,6 +476,8 @@
   bool types_busy_ = false;
   Micros next_types_ = 0;
   bool list_busy_ = false;
+  std::string list_after_;  // the list goes on behind this name
+  int list_pages_ = 0;
   Micros next_machines_ = 0;
   Micros machines_asked_ = 0;
   std::vector<ListedMachine> listed_;
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -12,6 +12,7 @@
 constexpr Micros kCloudTimeout = 5 * kSecond;
 constexpr Micros kTypesPeriod = 60 * kSecond;
 constexpr Micros kJudgePeriod = 250 * kMilli;
+constexpr Micros kListPatience = 30 * kSecond;
 constexpr double kSlowBoot = 1.8;  // of the usual boot time
 constexpr Micros kStrayAfter = 20 * kSecond;
 // Room in a zone, in thousandths of cpus, that counts as having a place there.
@@ -634,7 +635,9 @@
   if (after.empty()) {
     machines_asked_ = now;
     listed_.clear();
+    list_pages_ = 0;
   }
+  list_after_.clear();
   Send(Dest::kCloud, "", "GET", wire::MachinesTarget(after, kPageLimit), "", kCloudTimeout,
        [this](Micros t, int status, const std::string& body) {
          std::optional<wire::MachinePage> page;
@@ -643,18 +646,27 @@
            list_busy_ = false;
            listed_.clear();
            next_machines_ = t + 3 * kSecond;
-           return;
+           return;  // the next list begins anew
          }
          listed_.insert(listed_.end(), page->machines.begin(), page->machines.end());
-         if (page->more && !page->machines.empty() && cloud_budget_.Take(t, 1)) {
-           AskMachines(t, page->machines.back().name);
+         ++list_pages_;
+         if (page->more && !page->machines.empty()) {
+           // Goes on as soon as there is a call for it: a list that was dropped for
+           // want of one never showed more than the first pages of a large fleet.
+           list_after_ = page->machines.back().name;
            return;
          }
          list_busy_ = false;
+         list_after_.clear();
+         // Half of our calls are left to rentals and returns.
+         const auto paced = static_cast<Micros>(2.0 * list_pages_ * s_.parts() / s_.cloud_rps *
+                                                static_cast<double>(kSecond));
          next_machines_ =
-             t + (some_silent_ ? 1500 * kMilli
-                               : std::max<Micros>(2 * kSecond, s_.list_lag / 2 + kSecond));
-         if (!page->more) TakeMachines(t);
+             machines_asked_ +
+             std::max(paced, some_silent_
+                                 ? 1500 * kMilli
+                                 : std::max<Micros>(2 * kSecond, s_.list_lag / 2 + kSecond));
+         TakeMachines(t);
        });
 }
 
@@ -751,13 +763,16 @@
     if (info.missing && silent > 3 * s_.report / 2) lost = true;
     // By then it has ended its tasks itself, so that giving it back ends none.
     // In a zone that is cut off, a sibling may be keeping leases alive, for as long
-    // as no cancel can be overrun: what runs there is not ended by us sooner.
-    Micros patience = Longest(cut.count(m.zone) != 0 ? s_.cancel : s_.lease) + 300 * kMilli;
-    if (info.first_heard != 0 && silent > patience && !deaf) lost = true;
+    // as no cancel can be overrun, from the cut on, which may have come a report
+    // after we last heard it: what runs there is not ended by us sooner. When we
+    // seem to be deaf we wait as long, but not for ever.
+    const bool kept = deaf || cut.count(m.zone) != 0;
+    Micros patience = Longest(kept ? s_.cancel + s_.report * 5 / 4 : s_.lease) + 300 * kMilli;
+    if (info.first_heard != 0 && silent > patience) lost = true;
     if (info.first_heard == 0 && type != nullptr) {
       Micros boot = static_cast<Micros>(s_.op.boot_patience() * static_cast<double>(type->boot));
       if (silent > boot + 10 * kSecond) lost = true;
-      if (info.listed_running && !m.attempts.empty() && silent > patience + 5 * kSecond && !deaf) {
+      if (info.listed_running && !m.attempts.empty() && silent > patience + 5 * kSecond) {
         lost = true;
       }
     }
@@ -814,7 +829,14 @@
     if (now >= next_judge_) JudgeMachines(now, part);
   }
   if (now >= next_judge_) next_judge_ = now + kJudgePeriod;
-  if (any && synced_ && !list_busy_ && now >= next_machines_ && cloud_budget_.Take(now, 1)) {
+  // Rentals and returns come first.
+  if (any && synced_ && list_busy_ && !list_after_.empty()) {
+    if (now - machines_asked_ > kListPatience) {
+      list_busy_ = false;  // its first pages are too old
+    } else if (cloud_budget_.Take(now, 1, 1))
+      AskMachines(now, std::string(list_after_));
+  } else if (any && synced_ && !list_busy_ && now >= next_machines_ &&
+             cloud_budget_.Take(now, 1, 1)) {
     list_busy_ = true;
     AskMachines(now, "");
   }
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -8,7 +8,8 @@
 namespace {
 constexpr Micros kGossipPeriod = 500 * kMilli;
 constexpr Micros kWarmPeriod = 2 * kSecond;
-constexpr size_t kMostWarm = 1000;  // machines in one message
+constexpr size_t kMostWarm = 1000;   // machines in one message
+constexpr size_t kMostQuiet = 2000;  // the same: a whole fleet may fall silent
 constexpr Micros kStateTimeout = 1500 * kMilli;
 constexpr Micros kRenewMargin = 1500 * kMilli;
 }  // namespace
@@ -32,9 +33,10 @@
     for (const auto& [name, m] : part.roster.machines) {
       auto info = machines_.find(name);
       if (info == machines_.end()) continue;
-      if (info->second.first_heard != 0 && now - info->second.heard > 2 * s_.report &&
-          g.quiet.size() < 200) {
-        g.quiet.push_back({name, static_cast<uint64_t>(now - info->second.heard)});
+      const Micros silent = now - std::max(info->second.heard, info->second.since);
+      if (info->second.first_heard != 0 && silent > s_.report * 3 / 2 &&
+          g.quiet.size() < kMostQuiet) {
+        g.quiet.push_back({name, static_cast<uint64_t>(silent)});
       }
       if (m.spot || !warm) continue;
       mesh::Warm has{name, {}};
@@ -109,12 +111,21 @@
     info.images.clear();
     for (const std::string& image : w.images) info.images[image] = now;
   }
+  std::set<std::string> quiet;
   for (const mesh::Quiet& q : gossip.quiet) {
     int part = PartOfMachine(q.machine);
     if (part < 0 || parts_[static_cast<size_t>(part)].mine) continue;
     machines_[q.machine].quiet_since =
         now - static_cast<Micros>(std::min<uint64_t>(q.silent_us, 3600 * kSecond));
+    quiet.insert(q.machine);
   }
+  // Heard again by its owner: whoever takes the part over must not think that it was
+  // silent all the time since.
+  for (const std::string& name : peer.quiet) {
+    auto info = quiet.count(name) == 0 ? machines_.find(name) : machines_.end();
+    if (info != machines_.end()) info->second.quiet_since = 0;
+  }
+  peer.quiet = std::move(quiet);
   for (uint64_t wanted : gossip.wanted) {
     if (wanted < parts_.size() && s_.labels[wanted] == from)
       HandBack(now, static_cast<int>(wanted));
@@ -235,6 +246,10 @@
   p.progress_at = now + FromSeconds(s_.op.progress_period_s());
   Log(LogLine::Level::kInfo,
       "claimed part " + std::to_string(part) + " at revision " + std::to_string(revision));
+  Micros last_alive = now;
+  if (auto peer = peers_.find(p.last_owner); peer != peers_.end() && peer->second.heard != 0) {
+    last_alive = peer->second.heard;
+  }
   // Whatever we knew of its attempts may be of an earlier ownership.
   for (auto it = attempts_.begin(); it != attempts_.end();) {
     it = it->second.part == part ? attempts_.erase(it) : std::next(it);
@@ -247,9 +262,13 @@
     // Commands of the owner before us may still run until the worker has seen
     // our token; until then its reports prove no absence.
     info.need_token = std::max(info.need_token, revision);
-    // Not from now, if the owner before us had missed it already.
-    info.since = info.quiet_since > info.heard ? info.quiet_since : now;
-    if (info.quiet_since > info.heard && info.first_heard == 0) info.first_heard = info.quiet_since;
+    // Its silence began when the owner before us missed it, or with that owner's end,
+    // and not with the claim: a part that changed hands twice while many machines were
+    // cut off once waited two leases for them.
+    info.since = info.quiet_since > info.heard ? info.quiet_since : last_alive;
+    if (info.first_heard == 0 && (info.quiet_since > info.heard || !m.addr.empty())) {
+      info.first_heard = info.since;
+    }
     info.returning = false;
     info.direct_busy = false;
     info.idle_since = 0;
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -30,6 +30,9 @@
 constexpr int64_t kMostChunkBytes = 13 * 1024;
 constexpr int kMostChunksAtOnce = 4;
 constexpr int kMostChunks = 1024;
+constexpr size_t kOtherConditions = 10;
+constexpr size_t kMostDone = 8;  // jobs that one round calls done
+constexpr Micros kTellPeriod = 5 * kSecond;
 constexpr int kMostPreemptions = 8;
 constexpr int64_t kLendBelow = 10;  // steady cpus for each that is kept free
 // Chunks whose stored content differs between two states of a roster.
@@ -337,14 +340,48 @@
   draft.fence = p.fence;
   for (auto& [id, run] : runs_) {
     if (run.part != part || run.done < static_cast<int>(run.tasks.size())) continue;
-    if (static_cast<int>(draft.done.size()) + 4 >= s_.txn_ops) break;
+    if (static_cast<int>(draft.done.size()) + 4 >= s_.txn_ops || draft.done.size() >= kMostDone) {
+      break;
+    }
     draft.done.push_back(id);
     draft.urgent = true;
   }
   draft.progress = p.progress_dirty && now >= p.progress_at;
+  if (now >= p.tell_at) {
+    p.tell_at = now + kTellPeriod;
+    Tell(part, draft);
+  }
   Commit(now, part, &draft);
 }
 
+// What a part has and lacks, for whoever reads the log.
+void Core::Tell(int part, const Draft& draft) {
+  int usable = 0, waiting = 0, services = 0;
+  int64_t steady = 0, spot = 0, free_steady = 0, free_spot = 0, wanted = 0;
+  for (const PlaceMachine& m : draft.machines) {
+    if (!m.usable) continue;
+    ++usable;
+    (m.spot ? spot : steady) += m.size.cpus;
+    (m.spot ? free_spot : free_steady) += m.free.cpus;
+  }
+  for (const Draft::Unmet& u : draft.unmet) {
+    (u.spec->kind == JobKind::kService ? services : waiting) += u.tasks;
+    wanted += u.tasks * u.spec->each.cpus;
+  }
+  const Part& p = parts_[static_cast<size_t>(part)];
+  Log(LogLine::Level::kDebug,
+      "part " + std::to_string(part) + ": " + std::to_string(draft.roster.machines.size()) +
+          " machines, usable " + std::to_string(usable) + ", chunks " +
+          std::to_string(draft.roster.chunks) + ", attempts " + std::to_string(p.attempts) +
+          ", cpus steady " + std::to_string(free_steady / 1000) + "/" +
+          std::to_string(steady / 1000) + " spot " + std::to_string(free_spot / 1000) + "/" +
+          std::to_string(spot / 1000) + " free, no room for " + std::to_string(waiting) +
+          " array and " + std::to_string(services) + " service tasks of " +
+          std::to_string(wanted / 1000) + " cpus, " + std::to_string(draft.roster.hires.size()) +
+          " rentals, " + std::to_string(write_budget_.have()) + " writes, " +
+          std::to_string(cloud_budget_.have()) + " calls left");
+}
+
 // A transaction holds so many changes and so many bytes. A roster of more
 // chunks than that is changed a few chunks at a time, in turn.
 void Core::ChooseWindow(Part* p, Draft* draft) const {
@@ -488,7 +525,15 @@
   // Batches widen with the load.
   uint32_t batch = std::max(p.batch, s_.op.batch());
   uint32_t started = 0;
-  const size_t most_jobs = static_cast<size_t>(std::max(1, 4 * s_.txn_ops - 12));
+  // Conditions are limited too: the claim, the chunks of this part and of one other,
+  // and some jobs that are done or move take theirs.
+  size_t others = 0;
+  for (int q = 0; q < s_.parts(); ++q) {
+    if (q != part) others = std::max(others, parts_[static_cast<size_t>(q)].chunks.size());
+  }
+  const size_t taken = p.chunks.size() + others + kOtherConditions;
+  const size_t conditions = static_cast<size_t>(4 * s_.txn_ops);
+  const size_t most_jobs = conditions > taken ? conditions - taken : 1;
   const int64_t headroom = draft->headroom;
   const int64_t zone_headroom =
       SpreadServices(part) ? headroom / static_cast<int64_t>(std::max<size_t>(1, s_.zones.size()))
--- a/src/core/view.cc
+++ b/src/core/view.cc
@@ -176,6 +176,7 @@
       p.claim = *claim;
       p.absent_since = 0;
       if (claim->owner != s_.label || claim->boot != boot_) {
+        p.last_owner = claim->owner;
         if (version > p.rival_claim) {
           p.rival_claim = version;
           p.rival = claim->owner;
--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -12,6 +12,7 @@
 constexpr Micros kRelayFor = 20 * kSecond;
 constexpr Micros kGraceSlack = 3 * kSecond;
 constexpr Micros kLapseSlack = 2 * kSecond;
+constexpr size_t kMostUnknown = 10000;  // machines; bounded, as anyone may report
 }  // namespace
 
 uint64_t Core::TokenOf(int part, const MachineInfo& info) const {
@@ -51,7 +52,7 @@
   if (!in_roster) {
     part = static_cast<int>(StableHash(report->machine) % parts_.size());
     // Kept by every node: the one that rented it may learn its name any moment.
-    if (unknown_.size() < 1000 || unknown_.count(report->machine) != 0) {
+    if (unknown_.size() < kMostUnknown || unknown_.count(report->machine) != 0) {
       unknown_[report->machine] = *report;
     }
     stray_since_.try_emplace(report->machine, now);
--- a/src/runtime/client.cc
+++ b/src/runtime/client.cc
@@ -29,10 +29,17 @@
   ev_io_start(loop_, &c->io);
 }
 
-void Client::Start(const Endpoint& to, int most, const Call& call) {
+void Client::Wake(Connection* c) {
+  if (!c->resting) return;
+  c->resting = false;
+  resting_.erase(c->place);
+}
+
+void Client::Start(const Endpoint& to, int most, bool vital, const Call& call) {
   Pool& pool = pools_[to.text];
   pool.to = to;
   pool.most = most;
+  pool.vital = vital;
   pool.waiting.push_back({call, SteadyNow() + call.timeout});
   Pump(&pool);
 }
@@ -45,6 +52,10 @@
     }
     if (free == nullptr) {
       if (static_cast<int>(pool->all.size()) >= pool->most) return;
+      if (!pool->vital && common_ >= most_) {
+        if (resting_.empty()) return;  // Tick() looks again
+        Drop(resting_.front());
+      }
       int fd = Dial(pool->to);
       if (fd < 0) return;  // Tick() answers it when its time is over
       auto owned = std::make_unique<Connection>();
@@ -53,6 +64,8 @@
       free->endpoint = pool->to.text;
       free->fd = fd;
       free->connecting = true;
+      free->vital = pool->vital;
+      if (!free->vital) ++common_;
       free->opened = SteadyNow();
       free->io.data = free;
       ev_init(&free->io, &Client::OnIo);
@@ -69,6 +82,7 @@
 
 void Client::Assign(Connection* c, Waiting waiting) {
   c->busy = true;
+  Wake(c);
   c->call = waiting.call.id;
   c->deadline = waiting.deadline;
   c->out =
@@ -139,6 +153,10 @@
   std::string endpoint = c->endpoint;
   if (keep) {
     c->idle_since = SteadyNow();
+    if (!c->vital && !c->resting) {
+      c->resting = true;
+      c->place = resting_.insert(resting_.end(), c);
+    }
     Watch(c, EV_READ);
   } else {
     Drop(c);
@@ -149,6 +167,8 @@
 }
 
 void Client::Drop(Connection* c) {
+  Wake(c);
+  if (!c->vital) --common_;
   ev_io_stop(loop_, &c->io);
   close(c->fd);
   auto pool = pools_.find(c->endpoint);
--- a/src/runtime/client.h
+++ b/src/runtime/client.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,13 +24,17 @@
   // Called from the loop, never from within Start().
   using Done = std::function<void(uint64_t call, int status, std::string body)>;
 
-  Client(struct ev_loop* loop, Done done) : loop_(loop), done_(std::move(done)) {}
+  // At most `most` connections to endpoints that are not vital: kept ones that are
+  // idle make way for new ones, and calls wait when there are none.
+  Client(struct ev_loop* loop, size_t most, Done done)
+      : loop_(loop), most_(most), done_(std::move(done)) {}
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
-  // `most` connections to this endpoint at a time; further calls queue.
-  void Start(const Endpoint& to, int most, const Call& call);
+  // `most` connections to this endpoint at a time; further calls queue. Vital ones
+  // do not count towards the limit over all endpoints.
+  void Start(const Endpoint& to, int most, bool vital, const Call& call);
   // Ends what ran out of time; a few times a second.
   void Tick(Micros now);
   size_t connections() const { return connections_.size(); }
@@ -41,6 +46,9 @@
     int fd = -1;
     bool connecting = false;
     bool busy = false;
+    bool vital = false;
+    bool resting = false;  // in `resting_`
+    std::list<Connection*>::iterator place;
     uint64_t call = 0;
     Micros deadline = 0;
     Micros opened = 0;
@@ -57,6 +65,7 @@
   struct Pool {
     Endpoint to;
     int most = 1;
+    bool vital = false;
     std::vector<Connection*> all;
     std::deque<Waiting> waiting;
   };
@@ -69,8 +78,12 @@
   void Finish(Connection* c, int status, std::string body, bool keep);
   void Drop(Connection* c);
   void Watch(Connection* c, int events);
+  void Wake(Connection* c);
 
   struct ev_loop* loop_;
+  size_t most_;
+  size_t common_ = 0;               // connections that are not vital
+  std::list<Connection*> resting_;  // those of them that are idle, the longest first
   Done done_;
   std::map<std::string, Pool> pools_;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
--- a/src/runtime/node.cc
+++ b/src/runtime/node.cc
@@ -35,7 +35,7 @@
         loop_(ev_default_loop(EVFLAG_AUTO)),
         core_(settings, DrawBoot(), SteadyNow(), WallNow()),
         server_(loop_, ServerSockets(settings), [this](Request r) { OnRequest(std::move(r)); }),
-        client_(loop_,
+        client_(loop_, WorkerSockets(settings),
                 [this](uint64_t call, int status, std::string body) {
                   inbox_.push_back({call, status, std::move(body)});
                 }),
@@ -72,9 +72,16 @@
     std::string body;
   };
 
-  // Room is left for calls, siblings and the loop itself.
+  // Every worker may come to one node, when the others are gone; direct commands are
+  // short and share few sockets. Some are kept for the state service, the cloud, the
+  // siblings and the loop itself, whatever comes in.
+  static constexpr int kKeptSockets = 64;
+  static size_t WorkerSockets(const Settings& s) {
+    return static_cast<size_t>(std::max(4, s.fd_limit / 6));
+  }
   static size_t ServerSockets(const Settings& s) {
-    return static_cast<size_t>(std::max(16, s.fd_limit * 7 / 10 - 16));
+    const int left = s.fd_limit - static_cast<int>(WorkerSockets(s)) - kKeptSockets;
+    return static_cast<size_t>(std::max(16, left));
   }
 
   static void OnTimer(struct ev_loop*, ev_timer* w, int) {
@@ -109,11 +116,11 @@
     for (const Call& call : out.calls) {
       switch (call.dest) {
         case Dest::kState:
-        case Dest::kWatch: client_.Start(settings_.state, kStateConnections, call); break;
-        case Dest::kCloud: client_.Start(settings_.cloud, kCloudConnections, call); break;
+        case Dest::kWatch: client_.Start(settings_.state, kStateConnections, true, call); break;
+        case Dest::kCloud: client_.Start(settings_.cloud, kCloudConnections, true, call); break;
         case Dest::kWorker:
           if (std::optional<Endpoint> to = ParseEndpoint(call.addr)) {
-            client_.Start(*to, 1, call);
+            client_.Start(*to, 1, false, call);
           } else {
             inbox_.push_back({call.id, kNotSent, ""});
           }
--- a/src/runtime/server.cc
+++ b/src/runtime/server.cc
@@ -13,6 +13,7 @@
 namespace {
 constexpr Micros kStalled = 10 * kSecond;  // in the middle of a request or an answer
 constexpr Micros kIdle = 90 * kSecond;     // between requests
+constexpr Micros kSpared = 500 * kMilli;   // idle for less: a request may be on its way
 constexpr int kAcceptsAtOnce = 32;
 }  // namespace
 
@@ -42,7 +43,7 @@
   for (int i = 0; i < kAcceptsAtOnce; ++i) {
     int fd = Accept(self->listener_);
     if (fd < 0) return;
-    if (self->connections_.size() >= self->most_) {
+    if (self->connections_.size() >= self->most_ && !self->DropIdle()) {
       // Refuse at once rather than let it wait for a socket.
       std::string refusal = http::WriteResponse(503, "", true, 1);
       (void)!send(fd, refusal.data(), refusal.size(), MSG_NOSIGNAL);
@@ -57,10 +58,29 @@
     c->io.data = c;
     ev_init(&c->io, &Server::OnIo);
     self->connections_[c] = std::move(owned);
+    self->Rest(c);
     self->Watch(c);
   }
 }
 
+void Server::Rest(Connection* c) {
+  if (c->resting) return;
+  c->resting = true;
+  c->place = resting_.insert(resting_.end(), c);
+}
+
+void Server::Wake(Connection* c) {
+  if (!c->resting) return;
+  c->resting = false;
+  resting_.erase(c->place);
+}
+
+bool Server::DropIdle() {
+  if (resting_.empty() || SteadyNow() - resting_.front()->last < kSpared) return false;
+  Drop(resting_.front());
+  return true;
+}
+
 void Server::Watch(Connection* c) {
   int events = 0;
   if (c->request == 0 && !c->close_after) events |= EV_READ;
@@ -97,6 +117,7 @@
     return;
   }
   c->last = SteadyNow();
+  Wake(c);
   c->parser.Feed({buffer, static_cast<size_t>(n)});
   Parse(c);
 }
@@ -127,6 +148,9 @@
   Connection* c = it->second;
   requests_.erase(it);
   c->request = 0;
+  // With nearly all sockets taken each answer ends its connection, so that every
+  // client gets its turn: one node may be left with all workers there are.
+  c->close_after = c->close_after || Crowded();
   c->out = http::WriteResponse(reply.status, reply.body, c->close_after, reply.retry_after_s);
   c->sent = 0;
   if (Write(c)) Watch(c);
@@ -150,10 +174,12 @@
     Drop(c);
     return false;
   }
+  if (c->request == 0 && c->parser.idle()) Rest(c);
   return true;
 }
 
 void Server::Drop(Connection* c) {
+  Wake(c);
   ev_io_stop(loop_, &c->io);
   close(c->fd);
   if (c->request != 0) requests_.erase(c->request);
--- a/src/runtime/server.h
+++ b/src/runtime/server.h
@@ -5,6 +5,7 @@
 #include <ev.h>
 
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -38,7 +39,9 @@
     int fd = -1;
     uint64_t request = 0;  // being answered
     bool close_after = false;
-    Micros last = 0;  // last byte in or out
+    Micros last = 0;       // last byte in or out
+    bool resting = false;  // in `resting_`
+    std::list<Connection*>::iterator place;
     std::string out;
     size_t sent = 0;
     http::Parser parser{http::Parser::Kind::kRequest, {8 * 1024, 64 * 1024}};
@@ -52,6 +55,12 @@
   bool Write(Connection* c);
   void Drop(Connection* c);
   void Watch(Connection* c);
+  // Between two requests, or no longer so.
+  void Rest(Connection* c);
+  void Wake(Connection* c);
+  // Makes room for one more by dropping the one that has been idle for longest.
+  bool DropIdle();
+  bool Crowded() const { return connections_.size() * 10 > most_ * 9; }
 
   struct ev_loop* loop_;
   size_t most_;
@@ -61,6 +70,7 @@
   uint64_t next_request_ = 1;
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::unordered_map<uint64_t, Connection*> requests_;
+  std::list<Connection*> resting_;  // the longest idle first
 };
 
 }  // namespace troutlink::runtime
