--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -9,7 +9,8 @@
 
 namespace {
 constexpr double kShareOfLimits = 0.9;
-}
+constexpr Micros kWatchGap = 6 * kSecond;  // without a watch: the state is listed again
+}  // namespace
 
 Core::Core(const Settings& settings, uint64_t boot, Micros now, Micros wall)
     : s_(settings),
@@ -224,8 +225,14 @@
 
 Outbox Core::Tick(Micros now, Micros wall) {
   wall_offset_ = wall - now;
-  if (!synced_ && !listing_ && now >= watch_retry_) StartList(now);
-  if (synced_ && !watching_ && now >= watch_retry_) StartWatch(now);
+  if (!watching_ && !listing_ && now >= watch_retry_) {
+    // All changes since then in one answer may be more than fits in memory.
+    if (!synced_ || now - watched_at_ > kWatchGap) {
+      StartList(now);
+    } else {
+      StartWatch(now);
+    }
+  }
   if (now >= next_gossip_) Gossip(now);
   RunLease(now);
   if (synced_) RunClaims(now);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -108,6 +108,7 @@
     std::string last_owner;  // of the claims that we saw, other than ours
     Micros absent_since = 0;
     Micros claimed_at = 0;
+    int silent = 0;  // machines that were up and are missed
     Micros no_claim_before = 0;
     bool claiming = false;
     bool releasing = false;
@@ -337,6 +338,7 @@
   static void Withdraw(Draft* draft, const JobSpec& spec, size_t begun);
   static std::string ShapeOf(const JobSpec& spec);
   void LookElsewhere(Micros now, int part, Draft* draft);
+  bool KnowsItsMachines(Micros now, int part) const;
   void DraftFleet(Micros now, int part, Draft* draft);
   void DraftTail(Micros now, int part, Draft* draft);
   void DraftPlacement(Micros now, int part, Draft* draft);
@@ -412,6 +414,7 @@
   std::map<std::string, ListItem> list_items_;
   uint64_t watch_revision_ = 0;
   bool watching_ = false;
+  Micros watched_at_ = 0;  // last answer of a watch, or of a whole list
   Micros watch_retry_ = 0;
   Micros view_at_ = 0;   // the view holds every change made before this time
   Micros state_ok_ = 0;  // last answer of the state service
--- a/src/core/draft.h
+++ b/src/core/draft.h
@@ -24,7 +24,12 @@
   PlaceIndex index;      // over them
   Use use;               // of the part's attempts that are not gone
   int64_t headroom = 0;  // cpus kept free for services
-  std::set<int> window;  // chunks that this round may change; empty: all
+  // A roster of more chunks than a transaction holds is changed a few chunks at a
+  // time: the first ones that a round touches, while it still sees all the others.
+  bool windowed = false;
+  size_t most_chunks = 0;
+  std::set<int> window;    // chunks that this round changes
+  std::set<int> removals;  // chunks whose turn it is to drop what is gone
   // Free machines of other parts, found when first needed.
   bool looked_elsewhere = false;
   std::vector<std::pair<int, std::string>> elsewhere;
@@ -43,7 +48,14 @@
   bool fence = false;
 
   bool MayChange(const std::string& machine) const {
-    return window.empty() || window.count(ChunkOf(machine, roster.chunks)) != 0;
+    return !windowed || window.size() < most_chunks ||
+           window.count(ChunkOf(machine, roster.chunks)) != 0;
+  }
+  // Around every change of a machine's record.
+  void Change(const std::string& machine) {
+    if (!windowed || !window.insert(ChunkOf(machine, roster.chunks)).second) return;
+    if (window.size() < most_chunks) return;
+    for (PlaceMachine& m : machines) m.closed = window.count(ChunkOf(m.name, roster.chunks)) == 0;
   }
   // Room on a machine is taken (or, with -1, given back).
   void Occupy(PlaceMachine* m, const JobSpec& spec, int n) {
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -13,7 +13,8 @@
 constexpr Micros kTypesPeriod = 60 * kSecond;
 constexpr Micros kJudgePeriod = 250 * kMilli;
 constexpr Micros kListPatience = 30 * kSecond;
-constexpr double kSlowBoot = 1.8;  // of the usual boot time
+constexpr Micros kReturnTakes = kSecond;  // from the decision to the cloud's answer
+constexpr double kSlowBoot = 1.8;         // of the usual boot time
 constexpr Micros kStrayAfter = 20 * kSecond;
 // Room in a zone, in thousandths of cpus, that counts as having a place there.
 constexpr int64_t kZoneRoom = 4000;
@@ -124,6 +125,7 @@
       auto known = unknown_.find(name);  // it may be up already
       if (known != unknown_.end()) m.addr = known->second.addr;
       draft->roster.machines[name] = std::move(m);
+      draft->Change(name);
     }
     it = all ? draft->roster.hires.erase(it) : std::next(it);
     draft->urgent = true;
@@ -153,6 +155,7 @@
     m.zone = zone;
     m.spot = spot;
     draft->roster.machines[name] = std::move(m);
+    draft->Change(name);
     draft->all_rosters = true;
     draft->urgent = true;
     ++adopted;
@@ -178,8 +181,22 @@
   }
 }
 
+// Just after a claim the machines that are up have not reported here yet: what seems
+// to lack then is not rented before most of them did, or had the time to.
+bool Core::KnowsItsMachines(Micros now, int part) const {
+  const Part& p = parts_[static_cast<size_t>(part)];
+  if (now - p.claimed_at > 2 * s_.report + 2 * kSecond) return true;
+  size_t up = 0, unknown = 0;
+  for (const MachineUse& use : p.machine_use) {
+    if (use.machine->addr.empty()) continue;
+    ++up;
+    if (use.info == nullptr || use.info->session == 0) ++unknown;
+  }
+  return unknown * 10 <= up;
+}
+
 void Core::DraftFleet(Micros now, int part, Draft* draft) {
-  if (draft->roster.hires.size() >= kMostHires) return;
+  if (draft->roster.hires.size() >= kMostHires || !KnowsItsMachines(now, part)) return;
   // Room that is on its way: machines that boot, and rentals under way.
   struct Coming {
     std::string type, zone, helps;
@@ -394,12 +411,14 @@
     MachineInfo& info = it->second;
     if (info.give_up) {
       m.leaving = true;
+      draft->Change(name);
       draft->urgent = true;
       continue;
     }
     if (!m.attempts.empty() || info.idle_since == 0) continue;
     if (info.drain) {
       m.leaving = true;
+      draft->Change(name);
       draft->urgent = true;
       continue;
     }
@@ -434,7 +453,10 @@
         }
       }
     }
-    if (m.leaving) draft->urgent = true;
+    if (m.leaving) {
+      draft->Change(name);
+      draft->urgent = true;
+    }
   }
 }
 
@@ -751,6 +773,7 @@
     if (now - std::max(info.heard, info.since) > 3 * s_.report) ++silent_ones;
   }
   some_silent_ = some_silent_ || silent_ones > 0;
+  p.silent = silent_ones;
   // When most fall silent at once, it is rather we who cannot hear.
   const bool deaf = total >= 3 && silent_ones * 10 > total * 6;
   const std::set<std::string> cut = ZonesCutOff(now);
@@ -761,13 +784,14 @@
     Micros silent = now - std::max(info.heard, info.since);
     bool lost = info.failed;
     if (info.missing && silent > 3 * s_.report / 2) lost = true;
-    // By then it has ended its tasks itself, so that giving it back ends none.
+    // By the time that the cloud has it back it has ended its tasks itself.
     // In a zone that is cut off, a sibling may be keeping leases alive, for as long
     // as no cancel can be overrun, from the cut on, which may have come a report
     // after we last heard it: what runs there is not ended by us sooner. When we
     // seem to be deaf we wait as long, but not for ever.
     const bool kept = deaf || cut.count(m.zone) != 0;
-    Micros patience = Longest(kept ? s_.cancel + s_.report * 5 / 4 : s_.lease) + 300 * kMilli;
+    Micros patience = kept ? Longest(s_.cancel + s_.report * 5 / 4) + 300 * kMilli
+                           : s_.lease - std::min(s_.lease / 20, kReturnTakes);
     if (info.first_heard != 0 && silent > patience) lost = true;
     if (info.first_heard == 0 && type != nullptr) {
       Micros boot = static_cast<Micros>(s_.op.boot_patience() * static_cast<double>(type->boot));
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -298,6 +298,12 @@
   Part& p = parts_[static_cast<size_t>(part)];
   if (!p.mine || p.releasing || p.committing || !StateFresh(now)) return;
   if (now - p.claimed_at < 5 * kSecond) return;
+  // Not while many of its machines are being missed: the new owner would have to find
+  // out about all of them again. But neither for ever.
+  if (p.silent * 20 > static_cast<int>(p.roster.machines.size()) &&
+      now - p.claimed_at < 2 * s_.cancel) {
+    return;
+  }
   if (!write_budget_.Take(now, 1)) return;
   p.releasing = true;
   StateTxn txn;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -89,7 +89,7 @@
   double best_score = 0;
   for (size_t i = 0; i < machines.size(); ++i) {
     const PlaceMachine& m = machines[i];
-    if (!m.usable || !spec.each.Fits(m.free)) continue;
+    if (!m.usable || (m.closed && !r.closed_too) || !spec.each.Fits(m.free)) continue;
     if (!m.helps.empty() && m.helps != spec.id) continue;
     if (r.avoid != nullptr && *r.avoid == m.name) continue;
     if (!Allowed(spec, *r.spread, m)) continue;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -20,6 +20,7 @@
   std::string zone;
   bool spot = false;
   bool usable = false;  // heard from lately, not leaving, not set aside
+  bool closed = false;  // this round cannot change it any more: the next one can
   std::string helps;
   Amount size;
   Amount free;
@@ -110,6 +111,7 @@
   // Work that saves nothing may use that room, as it is stopped within moments.
   bool lend = true;
   const std::string* avoid = nullptr;  // a machine to keep away from
+  bool closed_too = false;             // whether the next round could place it
 };
 
 // True when type, kind and zone of the machine are allowed for one more task,
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -199,8 +199,12 @@
   draft->machines.reserve(p.machine_use.size() + 16);
   for (const MachineUse& use : p.machine_use) {
     const RosterMachine& m = *use.machine;
-    const bool may = draft->MayChange(m.name);
-    if (may && returned_.count(m.name) != 0) continue;
+    const bool may =
+        !draft->windowed || draft->removals.count(ChunkOf(m.name, draft->roster.chunks)) != 0;
+    if (may && returned_.count(m.name) != 0) {
+      draft->Change(m.name);
+      continue;
+    }
     RosterMachine& copy =
         roster.machines.emplace_hint(roster.machines.end(), m.name, RosterMachine())->second;
     copy.name = m.name;
@@ -212,10 +216,10 @@
     copy.helps = m.helps;
     copy.attempts.reserve(m.attempts.size() + 4);
     PlaceMachine& place = draft->machines.emplace_back(EmptyMachine(now, m));
-    place.usable = place.usable && may;
     for (size_t i = 0; i < m.attempts.size(); ++i) {
       const MachineUse::Slot slot = i < use.slots.size() ? use.slots[i] : MachineUse::Slot();
       const bool gone = slot.info != nullptr && slot.info->gone;
+      if (gone && may) draft->Change(m.name);
       if (!gone || !may) copy.attempts.push_back(m.attempts[i]);
       if (gone) continue;
       place.AddTasks(m.attempts[i].job, 1);
@@ -385,13 +389,18 @@
 // A transaction holds so many changes and so many bytes. A roster of more
 // chunks than that is changed a few chunks at a time, in turn.
 void Core::ChooseWindow(Part* p, Draft* draft) const {
-  const int most = p->narrow > 0 ? 1 : std::max(2, std::min(s_.txn_ops / 2, kMostChunksAtOnce) - 1);
+  const int most = p->narrow > 0 ? 2 : std::clamp(s_.txn_ops / 2, 3, kMostChunksAtOnce);
   if (p->narrow > 0) --p->narrow;
   if (draft->roster.chunks <= most) return;
-  draft->window.insert(0);
-  for (int i = 0; i < most; ++i) draft->window.insert((p->window_at + i) % draft->roster.chunks);
-  p->window_at = (p->window_at + most) % draft->roster.chunks;
-  p->dirty = true;
+  draft->windowed = true;
+  draft->most_chunks = static_cast<size_t>(most);
+  draft->window.insert(0);  // numbers, shares and rentals are there
+  const int turns = std::max(1, most / 2);
+  for (int i = 0; i < turns; ++i) {
+    draft->removals.insert((p->window_at + i) % draft->roster.chunks);
+  }
+  p->window_at = (p->window_at + turns) % draft->roster.chunks;
+  if (p->cleanup) p->dirty = true;
 }
 
 // Attempt numbers differ between parts, so that a job may change its part.
@@ -619,6 +628,16 @@
       bool fits = on >= 0 && !shape.empty() && draft->machines[static_cast<size_t>(on)].spot &&
                   spec.each.Fits(draft->machines[static_cast<size_t>(on)].free);
       if (!fits) on = ChooseMachine(request, draft->machines, draft->index);
+      if (on < 0 && draft->windowed) {
+        // A machine of another chunk has room: no reason to take or rent one.
+        request.closed_too = true;
+        const bool soon = ChooseMachine(request, draft->machines, draft->index) >= 0;
+        request.closed_too = false;
+        if (soon) {
+          p.dirty = true;
+          break;
+        }
+      }
       if (on < 0) {
         // A take that comes to nothing is undone with the rest.
         if (whole && before == nullptr) before = std::make_unique<Draft>(*draft);
@@ -638,6 +657,7 @@
         draft->index.Add(&machine);
       }
       draft->Occupy(&machine, spec, 1);
+      draft->Change(machine.name);
       // The tasks of a gang find each other by a common attempt.
       Attempt a{spec.id, static_cast<int>(i), gang ? gang_number : NextNumber(part, draft)};
       draft->roster.machines[machine.name].attempts.push_back(a);
@@ -841,7 +861,7 @@
     if (!draft->others.empty() && draft->others.count(q) == 0) continue;
     const RosterMachine& m = other.roster.machines.at(name);
     const MachineType* type = TypeOf(m.type);
-    if (type == nullptr || !spec.each.Fits(type->size)) continue;
+    if (type == nullptr || !spec.each.Fits(type->size) || !draft->MayChange(name)) continue;
     PlaceMachine machine = EmptyMachine(now, m);
     machine.usable = true;
     if (!Allowed(spec, draft->SpreadOf(spec), machine)) continue;
@@ -864,6 +884,7 @@
     draft->roster.machines[name] = m;
     draft->machines.push_back(std::move(machine));
     draft->index.Add(&draft->machines.back());
+    draft->Change(name);
     draft->urgent = true;
     draft->elsewhere.erase(it);
     return true;
--- a/src/core/view.cc
+++ b/src/core/view.cc
@@ -64,6 +64,7 @@
   SettleRosters(now);
   listing_ = false;
   synced_ = true;
+  watched_at_ = now;
   watch_revision_ = list_revision_;
   StartWatch(now);
 }
@@ -86,7 +87,7 @@
            watch_retry_ = t + 200 * kMilli;
            return;
          }
-         state_ok_ = t;
+         state_ok_ = watched_at_ = t;
          for (const StateEvent& e : reply->events) {
            if (e.erase) {
              ApplyErase(t, e.key, e.version);
--- a/tests/stories_test.cc
+++ b/tests/stories_test.cc
@@ -808,7 +808,7 @@
       }
     }
     ASSERT_GE(part, 0);
-    ASSERT_GT(w.core(0).RosterOf(part).chunks, 3);
+    ASSERT_GT(w.core(0).RosterOf(part).chunks, 4);
     // Machines lose what they run, as after a lease that ended, and say so.
     int n = 0;
     for (auto& [name, x] : w.workers) {
