--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -93,6 +93,9 @@
       if (auto w = o.find("within_s"); w != o.end() && w->is_number()) {
         objective.within = FromSeconds(w->get<double>());
       }
+      if (auto w = o.find("times"); w != o.end() && w->is_number()) {
+        objective.times = w->get<double>();
+      }
       if (auto w = o.find("share"); w != o.end() && w->is_number()) {
         objective.share = w->get<double>();
       }
@@ -204,7 +207,7 @@
          range("array_headroom_share", o.array_headroom_share(), 0, 10) &&
          range("machine_failures", o.machine_failures(), 1, 1000) &&
          range("job_failures", o.job_failures(), 1, 1000) &&
-         range("overload_s", o.overload_s(), 0, 1e6) && range("starve_s", o.starve_s(), 0, 1e6) &&
+         range("starve_s", o.starve_s(), 0, 1e6) &&
          range("consolidate_after_s", o.consolidate_after_s(), 0, 86400) &&
          range("team_headroom_cpus", o.team_headroom_cpus(), 0, 1e6) &&
          range("image_headroom_cpus", o.image_headroom_cpus(), 0, 1e6) &&
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -36,6 +36,7 @@
   std::string job_class;
   Micros within = 0;
   double share = 0;
+  double times = 1;  // of the deadline
 };
 
 struct Settings {
--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -91,6 +91,7 @@
       if (type == nullptr || m.leaving || !m.helps.empty()) continue;
       if (!TypeAllowed(spec, m.type, m.spot)) continue;
       if (spec.each.Fits(type->size)) ++room.machines;
+      room.size += static_cast<double>(type->size.cpus - use.critical.cpus);
       // What it may push aside is room for a critical job.
       Amount left = type->size - (critical ? use.critical : use.all);
       if (left.cpus > 0) room.free += static_cast<double>(left.cpus);
@@ -141,9 +142,13 @@
   std::vector<Room> rooms = RoomsFor(spec);
   size_t best = StableHash(spec.id) % parts_.size();
   std::vector<double> score(parts_.size(), 0);
+  double mean = 0;
+  for (const Room& room : rooms) mean += room.size / static_cast<double>(rooms.size());
   for (size_t p = 0; p < parts_.size(); ++p) {
     const Room& room = rooms[p];
     score[p] = room.now_free;
+    // Where all are full, by how long it takes: a small part works a queue off slowly.
+    if (room.now_free < 0 && room.size > 0) score[p] *= mean / room.size;
     if (spec.kind != JobKind::kArray) score[p] += 1e8 * room.placeable / spec.tasks;
     // A replica starts at once only where its image is.
     if (spec.kind == JobKind::kService) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -202,6 +202,7 @@
   JobStatus StatusOf(const std::string& id, const JobEntry& entry) const;
   struct Room {
     double free = 0;     // cpus
+    double size = 0;     // cpus, without those of critical work
     double waiting = 0;  // cpus that wait there and come first
     double now_free = 0;
     int placeable = 0;   // tasks that could start now
@@ -356,6 +357,7 @@
   bool SpreadServices(int part) const;
   // The last moment at which the rest of a job may start and still be in time.
   Micros LatestStart(const JobRecord& record) const;
+  std::vector<Micros> LatestStarts(const JobRecord& record) const;
   bool LastOfZone(const Draft& draft, const PlaceMachine& m) const;
   bool LastWarm(const Draft& draft, const PlaceMachine& m) const;
   void Consolidate(Micros now, int part, Draft* draft);
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -2,9 +2,11 @@
 // comes meanwhile is gathered by the next.
 #include <algorithm>
 #include <memory>
+#include <tuple>
 
 #include "core/core.h"
 #include "core/draft.h"
+#include "core/order.h"
 #include "core/quota.h"
 #include "core/tail.h"
 
@@ -286,19 +288,29 @@
   return false;
 }
 
-// From the deadline, or from what the objectives expect of the class.
-Micros Core::LatestStart(const JobRecord& record) const {
+// By the deadline, and by what the objectives expect of the class; earliest first.
+std::vector<Micros> Core::LatestStarts(const JobRecord& record) const {
   const JobSpec& spec = record.spec;
-  Micros best = record.submitted + 600 * kSecond;
-  if (spec.deadline > 0) best = record.submitted + spec.deadline - spec.estimate;
+  std::vector<Micros> out;
+  if (spec.deadline > 0) out.push_back(spec.deadline - spec.estimate);
   for (const Objective& o : s_.objectives) {
-    if (o.job_class != spec.job_class || o.within <= 0) continue;
-    if (o.kind == "wait") best = std::min(best, record.submitted + o.within);
-    if (o.kind == "finished") best = std::min(best, record.submitted + o.within - spec.estimate);
+    if (o.job_class != spec.job_class) continue;
+    if (o.kind == "wait" && o.within > 0) out.push_back(o.within);
+    if (o.kind == "finished" && o.within > 0) out.push_back(o.within - spec.estimate);
+    if (o.kind == "deadline" && spec.deadline > 0) {
+      out.push_back(static_cast<Micros>(o.times * static_cast<double>(spec.deadline)) -
+                    spec.estimate);
+    }
   }
-  return best;
+  if (out.empty()) out.push_back(600 * kSecond);
+  std::sort(out.begin(), out.end());
+  out.erase(std::unique(out.begin(), out.end()), out.end());
+  for (Micros& at : out) at += record.submitted;
+  return out;
 }
 
+Micros Core::LatestStart(const JobRecord& record) const { return LatestStarts(record).front(); }
+
 // A round looks at all that a part has. It may take so much of our share of a
 // processor: the more a part has, the further apart rounds are, and the more each
 // of them decides.
@@ -459,12 +471,14 @@
     JobRun* run;
     int tasks;
     bool within;
-    bool late;
-    bool aged;  // has waited too long without a start
-    Micros key;
-    double work;  // cpu seconds that wait
+    bool aged;                   // has waited too long without a start
+    std::vector<Micros> limits;  // latest starts, one for each aim
+    size_t tier;                 // the first of them that can be kept
+    double work;                 // cpu seconds that wait
     Micros submitted;
     int moves;
+    bool lost() const { return tier >= limits.size(); }
+    Micros key() const { return lost() ? submitted : limits[tier]; }
   };
   std::map<std::string, Share> everywhere = draft->use.teams;  // over all parts
   for (int q = 0; q < s_.parts(); ++q) {
@@ -491,19 +505,19 @@
     const Team* team = FindTeam(spec.team);
     if (team == nullptr) continue;
     bool within = team->cpus > 0 && everywhere[spec.team].cpus + spec.each.cpus <= team->cpus;
-    // First who can still be in time, most urgent first; then the late ones in
-    // the order of their coming.
-    Micros key = LatestStart(job->record);
     // Whatever the order, nothing waits for ever: what has waited long without a
     // single start comes first.
     const Micros starve = FromSeconds(s_.op.starve_s());
     const bool aged =
         run.done + run.placed == 0 && starve > 0 && WallNow(now) - job->record.submitted > starve;
-    bool late = spec.kind != JobKind::kService && key < WallNow(now);
-    if (late) key = job->record.submitted;
+    std::vector<Micros> limits = LatestStarts(job->record);
+    size_t tier = 0;
+    while (spec.kind != JobKind::kService && tier < limits.size() && limits[tier] < WallNow(now)) {
+      ++tier;
+    }
     double work = static_cast<double>(left * spec.each.cpus) / 1000 * ToSeconds(spec.estimate);
-    waiting.push_back({&spec, &run, left, within, late, aged, key, work, job->record.submitted,
-                       job->record.moves});
+    waiting.push_back({&spec, &run, left, within, aged, std::move(limits), tier, work,
+                       job->record.submitted, job->record.moves});
   }
   // The recent peak fades within a minute, and to nothing: a share of it that
   // only dwindled would keep a last machine for long.
@@ -513,24 +527,38 @@
     p.peak_at = now;
   }
   p.array_peak = faded;
-  // With more waiting than machines can do soon, not all can be in time: small
-  // jobs go first then, and most of them are.
-  double backlog = 0, capacity = 0;
-  for (const Waiting& w : waiting) backlog += w.work;
+  // Most urgent first, as long as all can be in time. When they cannot, what costs
+  // most is put off until its next aim, so that as many as possible are (Moore and
+  // Hodgson). Late ones come last, in the order of their coming.
+  double capacity = 0;
   for (const PlaceMachine& m : draft->machines) {
-    if (m.usable) capacity += static_cast<double>(m.size.cpus) / 1000;
+    capacity += static_cast<double>(std::max<int64_t>(0, m.free.cpus) + m.lesser.cpus) / 1000;
   }
-  const bool overload = backlog > capacity * s_.op.overload_s();
-  std::sort(waiting.begin(), waiting.end(), [overload](const Waiting& a, const Waiting& b) {
-    if (a.spec->priority != b.spec->priority) return a.spec->priority > b.spec->priority;
-    if (a.within != b.within) return a.within;
-    if (a.aged != b.aged) return a.aged;
+  auto group = [](const Waiting& w) {
+    return std::make_tuple(-static_cast<int>(w.spec->priority), !w.within, !w.aged);
+  };
+  auto before = [&group](const Waiting& a, const Waiting& b) {
+    if (auto x = group(a), y = group(b); x != y) return x < y;
     if (a.aged && a.submitted != b.submitted) return a.submitted < b.submitted;
-    if (a.late != b.late) return b.late;
-    if (overload && a.work != b.work) return a.work < b.work;
-    if (a.key != b.key) return a.key < b.key;
+    const size_t s = a.lost() ? SIZE_MAX : a.tier, t = b.lost() ? SIZE_MAX : b.tier;
+    if (s != t) return s < t;
+    if (a.key() != b.key()) return a.key() < b.key();
     return a.spec->id < b.spec->id;
-  });
+  };
+  std::sort(waiting.begin(), waiting.end(), before);
+  double ahead = 0;  // cpu seconds of what comes first
+  for (auto from = waiting.begin(); capacity > 0 && from != waiting.end();) {
+    auto to = std::find_if(from, waiting.end(),
+                           [&](const Waiting& w) { return group(w) != group(*from); });
+    if (from->spec->kind != JobKind::kService && !from->aged) {
+      std::vector<OrderItem> items;
+      for (auto w = from; w != to; ++w) items.push_back({&w->limits, w->work, w->tier});
+      PutOff(WallNow(now), capacity, ahead, &items);
+      for (auto w = from; w != to; ++w) w->tier = items[static_cast<size_t>(w - from)].tier;
+    }
+    for (; from != to; ++from) ahead += from->work;
+  }
+  std::sort(waiting.begin(), waiting.end(), before);
   // Batches widen with the load.
   uint32_t batch = std::max(p.batch, s_.op.batch());
   uint32_t started = 0;
--- a/tests/units_test.cc
+++ b/tests/units_test.cc
@@ -7,6 +7,7 @@
 #include "config/settings.h"
 #include "core/budget.h"
 #include "core/health.h"
+#include "core/order.h"
 #include "core/placement.h"
 #include "core/quota.h"
 #include "core/records.h"
@@ -82,6 +83,24 @@
   return s;
 }
 
+TEST(Order, PutsOffWhatCostsMostUntilTheOthersAreInTime) {
+  const std::vector<Micros> soon = {10 * kSecond, 40 * kSecond}, later = {20 * kSecond};
+  // 10 cpus: 100 cpu seconds take 10 s.
+  std::vector<OrderItem> items = {{&soon, 60, 0}, {&soon, 90, 0}, {&soon, 30, 0}, {&later, 100, 0}};
+  PutOff(0, 10, 0, &items);
+  EXPECT_EQ(items[0].tier, 0u);
+  EXPECT_EQ(items[1].tier, 1u);  // 18 s of work in 10 s: the largest waits for its next aim
+  EXPECT_EQ(items[2].tier, 0u);
+  EXPECT_EQ(items[3].tier, 0u);
+  // With room for all nothing is put off, whatever its size.
+  for (OrderItem& i : items) i.tier = 0;
+  PutOff(0, 30, 0, &items);
+  for (const OrderItem& i : items) EXPECT_EQ(i.tier, 0u);
+  // What comes before counts, and nothing is put off past its last aim twice.
+  PutOff(0, 10, 1000, &items);
+  for (const OrderItem& i : items) EXPECT_EQ(i.tier, i.limits->size());
+}
+
 TEST(Placement, KeepsToAllowedKindsZonesAndSpread) {
   JobSpec s = Spec(5);
   JobSpread spread;
