Old judgements do not outlive a claim; a copy of a start cannot follow its reap; fleet stories

A repeat of a carried-out start command, after the task was stopped and reaped there, would start it once more beside its next attempt: the worker sees a higher token before such a reap. A node that stood still counts silence anew; without the state service no machine is given up.

--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -9,6 +9,7 @@
 
 namespace {
 constexpr double kShareOfLimits = 0.9;
+constexpr Micros kStoodStill = 3 * kSecond;
 constexpr Micros kWatchGap = 6 * kSecond;  // without a watch: the state is listed again
 }  // namespace
 
@@ -225,6 +226,13 @@
 
 Outbox Core::Tick(Micros now, Micros wall) {
   wall_offset_ = wall - now;
+  if (now_ != 0 && now - now_ > kStoodStill) {
+    // We stood still: that nothing was heard meanwhile says nothing of the machines.
+    Log(LogLine::Level::kInfo, "stood still for " + std::to_string((now - now_) / kMilli) + " ms");
+    for (auto& [name, info] : machines_) {
+      if (info.since != 0) info.since = now;
+    }
+  }
   if (!watching_ && !listing_ && now >= watch_retry_) {
     // All changes since then in one answer may be more than fits in memory.
     if (!synced_ || now - watched_at_ > kWatchGap) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -226,12 +226,13 @@
   struct AttemptInfo {
     std::string machine;
     int part = 0;
-    uint64_t mark = 0;    // of the last time that the roster had it
-    bool fresh = false;   // decided by this process: its start is ours to send
-    bool seen = false;    // a report had it
-    bool gone = false;    // proven gone; leaves the roster at the next commit
-    bool direct = false;  // its start is in a direct command without an answer yet
-    bool moved = false;   // is being moved for the tail
+    uint64_t mark = 0;         // of the last time that the roster had it
+    bool fresh = false;        // decided by this process: its start is ours to send
+    bool seen = false;         // a report had it
+    bool gone = false;         // proven gone; leaves the roster at the next commit
+    uint64_t start_token = 0;  // of the direct command that started it
+    bool direct = false;       // its start is in a direct command without an answer yet
+    bool moved = false;        // is being moved for the tail
     bool stopping = false;
     Micros stop_at = 0;  // when the stop was decided
     Micros grace = 0;
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -774,8 +774,12 @@
   }
   some_silent_ = some_silent_ || silent_ones > 0;
   p.silent = silent_ones;
-  // When most fall silent at once, it is rather we who cannot hear.
+  // Without the state service no machine is given up: it may be we who are cut off.
+  const bool blind = !StateFresh(now);
+  // When most fall silent at once, it is rather we who cannot hear, all the more when
+  // none is heard.
   const bool deaf = total >= 3 && silent_ones * 10 > total * 6;
+  const bool stone_deaf = deaf && silent_ones * 20 > total * 19;
   const std::set<std::string> cut = ZonesCutOff(now);
   for (const auto& [name, m] : p.roster.machines) {
     MachineInfo& info = machines_[name];
@@ -790,8 +794,9 @@
     // for ever. Not longer either: a zone that was away for 60 s had its replicas
     // missed for a third of that time (see docs/rounds.md).
     const bool kept = deaf || cut.count(m.zone) != 0;
-    Micros patience = kept ? Longest(s_.cancel) + 300 * kMilli
-                           : s_.lease - std::min(s_.lease / 20, kReturnTakes);
+    Micros patience = stone_deaf ? 4 * s_.cancel
+                      : kept     ? Longest(s_.cancel) + 300 * kMilli
+                                 : s_.lease - std::min(s_.lease / 20, kReturnTakes);
     if (info.first_heard != 0 && silent > patience) lost = true;
     if (info.first_heard == 0 && type != nullptr) {
       Micros boot = static_cast<Micros>(s_.op.boot_patience() * static_cast<double>(type->boot));
@@ -800,7 +805,7 @@
         lost = true;
       }
     }
-    if (lost && !info.give_up && !m.leaving) {
+    if (lost && !blind && !info.give_up && !m.leaving) {
       info.give_up = true;
       Log(LogLine::Level::kInfo, "giving up " + name +
                                      (info.failed    ? ": failed"
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -12,6 +12,7 @@
 constexpr size_t kMostQuiet = 2000;  // the same: a whole fleet may fall silent
 constexpr Micros kStateTimeout = 1500 * kMilli;
 constexpr Micros kRenewMargin = 1500 * kMilli;
+constexpr Micros kHeardSlack = 3 * kSecond;
 }  // namespace
 
 mesh::Gossip Core::MakeGossip(Micros now, bool warm) const {
@@ -246,10 +247,14 @@
   p.progress_at = now + FromSeconds(s_.op.progress_period_s());
   Log(LogLine::Level::kInfo,
       "claimed part " + std::to_string(part) + " at revision " + std::to_string(revision));
-  Micros last_alive = now;
+  // What the owner before us told of silent machines counts if it told it just now. Else
+  // each machine has the time for two reports first: it may be well and heard elsewhere.
+  Micros last_alive = now, earliest = now - s_.lease + 2 * s_.report + kHeardSlack;
   if (auto peer = peers_.find(p.last_owner); peer != peers_.end() && peer->second.heard != 0) {
     last_alive = peer->second.heard;
+    if (now - last_alive < 2 * FromSeconds(s_.op.claim_life_s()) + kHeardSlack) earliest = 0;
   }
+  earliest = std::min(earliest, now);
   // Whatever we knew of its attempts may be of an earlier ownership.
   for (auto it = attempts_.begin(); it != attempts_.end();) {
     it = it->second.part == part ? attempts_.erase(it) : std::next(it);
@@ -266,6 +271,12 @@
     // and not with the claim: a part that changed hands twice while many machines were
     // cut off once waited two leases for them.
     info.since = info.quiet_since > info.heard ? info.quiet_since : last_alive;
+    info.since = std::max(info.since, earliest);
+    // Nor does anything count that we concluded as an earlier owner: a node that came
+    // back from a cut once gave all its machines back for that.
+    info.give_up = info.drain = false;
+    info.unheeded = info.lapses = 0;
+    info.avoid_until = 0;
     if (info.first_heard == 0 && (info.quiet_since > info.heard || !m.addr.empty())) {
       info.first_heard = info.since;
     }
--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -356,6 +356,14 @@
   auto run = runs_.find(attempt.job);
   MarkGone(part, attempt, info);
   MachineInfo& mi = machines_[machine.name];
+  // A copy of the direct command that started it may arrive at any later time, and after
+  // the reap it would start the task once more: where that matters the worker sees a
+  // higher token first. What is done only exits as done again.
+  if (task.why != ExitReason::kDone && info->start_token != 0 &&
+      mi.token_seen <= info->start_token) {
+    mi.need_token = std::max(mi.need_token, info->start_token + 1);
+    if (mi.need_token > TokenOf(part, mi)) parts_[static_cast<size_t>(part)].fence = true;
+  }
   switch (task.why) {
     case ExitReason::kDone:
       health_.Succeeded(machine.name, attempt.job);
@@ -484,6 +492,7 @@
       at.stop_sent = true;
     } else if (at.fresh && !at.seen && !at.stopping && !over && at.session == 0 && clean) {
       at.direct = true;
+      at.start_token = TokenOf(part, info);
       at.session = info.session;
       started.push_back(a);
       ++counters_.starts;
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -141,9 +141,15 @@
     if (verb == "start") {
       if (it != tasks.end()) continue;
       ++starts;
-      if (on_start) on_start(job, task);
       Task t;
       t.attempt = attempt;
+      if (results != nullptr && results->count({job, task}) != 0) {
+        t.state = TaskState::kExited;
+        t.why = ExitReason::kDone;
+        tasks[{job, task}] = t;
+        continue;
+      }
+      if (on_start) on_start(job, task);
       Micros run = run_time.count(job) != 0 ? run_time[job] : 0;
       if (run > 0) t.ends = now + run;
       if (fails_all) {
@@ -168,6 +174,7 @@
     if (t.state == TaskState::kRunning && t.ends != 0 && now >= t.ends) {
       t.state = TaskState::kExited;
       t.why = ExitReason::kDone;
+      if (results != nullptr) results->insert(key);
       next_report = std::min(next_report, now);
     }
   }
@@ -262,6 +269,8 @@
 
 void World::Kill(size_t node) {
   nodes_[node].core.reset();
+  nodes_[node].frozen = false;
+  nodes_[node].delayed.clear();
   for (auto& [id, reply] : nodes_[node].waiting) reply({id, -1, "", 0});
   nodes_[node].waiting.clear();
 }
@@ -279,6 +288,7 @@
   w->next_report = now;
   w->node = static_cast<size_t>(next_machine_) % nodes_.size();
   w->run_time = run_time;
+  w->results = &results;
   FakeWorker* raw = w.get();
   w->on_start = [this, raw](const std::string& job, int task) {
     for (const auto& [other, o] : workers) {
@@ -294,12 +304,40 @@
 
 void World::AnswerCall(size_t node, uint64_t boot, uint64_t call, int status, std::string body) {
   At(now + kLatency, [this, node, boot, call, status, body = std::move(body)] {
-    Node& n = nodes_[node];
-    if (n.core == nullptr || n.boot != boot) return;
-    Dispatch(node, n.core->HandleAnswer(now, call, status, body));
+    Deliver(node, [this, node, boot, call, status, body] {
+      Node& n = nodes_[node];
+      if (n.core == nullptr || n.boot != boot) return;
+      Dispatch(node, n.core->HandleAnswer(now, call, status, body));
+    });
   });
 }
 
+void World::Deliver(size_t node, std::function<void()> run) {
+  if (nodes_[node].frozen) {
+    nodes_[node].delayed.push_back(std::move(run));
+  } else {
+    run();
+  }
+}
+
+void World::Freeze(size_t node) { nodes_[node].frozen = true; }
+
+void World::Thaw(size_t node) {
+  nodes_[node].frozen = false;
+  auto delayed = std::move(nodes_[node].delayed);
+  nodes_[node].delayed.clear();
+  for (auto& run : delayed) run();
+}
+
+void World::RepeatCarried() {
+  auto again = carried;
+  keep_calls = false;
+  for (auto& [node, call] : again) {
+    bool hang = false;
+    Serve(node, call, &hang);
+  }
+}
+
 std::pair<int, Json> World::Cloud(const std::string& method, const std::string& target,
                                   const Json& body) {
   if (cloud_down) return {503, {{"error", "trouble"}}};
@@ -387,7 +425,8 @@
   }
   for (auto& [name, w] : workers) {
     if (w->addr != call.addr || w->dead) continue;
-    if (w->silent || w->unhearing || cut_from_workers.count(node) != 0 || w->lease_from > now) {
+    if (w->silent || w->hung || w->unhearing || cut_from_workers.count(node) != 0 ||
+        w->lease_from > now) {
       *hang = true;
       return {};
     }
@@ -415,6 +454,7 @@
                         now + std::stoll(Param(call.target, "hold_ms")) * kMilli});
     return;
   }
+  if (keep_calls && call.method == "POST") carried.emplace_back(node, call);
   if (lose && lose(node, call)) {
     held.emplace_back(node, call);
     At(now + call.timeout, [this, node, boot, id = call.id] {
@@ -461,9 +501,11 @@
     mesh::GetVarint(&in, &n);
     std::string body(in);
     At(now + kLatency, [this, node, to, body] {
-      if (nodes_[to].core == nullptr) return;
-      std::optional<mesh::Message> message = mesh::Decode(body);
-      Dispatch(to, nodes_[to].core->HandlePeer(now, "node-" + std::to_string(node), *message));
+      Deliver(to, [this, node, to, body] {
+        if (nodes_[to].core == nullptr) return;
+        std::optional<mesh::Message> message = mesh::Decode(body);
+        Dispatch(to, nodes_[to].core->HandlePeer(now, "node-" + std::to_string(node), *message));
+      });
     });
   }
   for (const Reply& reply : out.replies) {
@@ -532,7 +574,19 @@
     return;
   }
   Request request{n.next_request++, "POST", "/v1/report", body};
-  n.waiting[request.id] = [this, w, next, node, sent, session](const Reply& reply) {
+  auto over = std::make_shared<bool>(false);
+  At(now + 4 * kSecond, [this, next, node, over] {
+    if (*over) return;
+    *over = true;  // no answer: on to the next one
+    next((node + 1) % nodes_.size(), kSecond);
+  });
+  n.waiting[request.id] = [this, w, next, node, sent, session, over](const Reply& reply) {
+    if (*over) return;
+    *over = true;
+    if (w->hung) {
+      next(node, kReport);
+      return;
+    }
     Json doc = wire::Unpack(reply.body).value_or(Json::object());
     if (w->unhearing) {
       next((node + 1) % nodes_.size(), 5 * kSecond);
@@ -556,8 +610,10 @@
     }
   };
   At(now + kLatency, [this, node, boot = n.boot, request] {
-    if (nodes_[node].core == nullptr || nodes_[node].boot != boot) return;
-    Dispatch(node, nodes_[node].core->HandleRequest(now, request));
+    Deliver(node, [this, node, boot, request] {
+      if (nodes_[node].core == nullptr || nodes_[node].boot != boot) return;
+      Dispatch(node, nodes_[node].core->HandleRequest(now, request));
+    });
   });
 }
 
@@ -566,12 +622,12 @@
   if (!state_down) state.Expire(now);
   for (size_t i = 0; i < nodes_.size(); ++i) {
     Node& n = nodes_[i];
-    if (n.core == nullptr || now < n.next_tick) continue;
+    if (n.core == nullptr || n.frozen || now < n.next_tick) continue;
     n.next_tick = now + kTick;
     Dispatch(i, n.core->Tick(now, now + 1'700'000'000 * kSecond));
   }
   for (auto& [name, w] : workers) {
-    if (w->dead || w->lease_from > now) continue;
+    if (w->dead || w->hung || w->lease_from > now) continue;
     w->Advance(now);
     if (!w->silent && !w->reporting && now >= w->next_report) WorkerReports(w.get());
   }
--- a/tests/world.h
+++ b/tests/world.h
@@ -63,6 +63,7 @@
 
   std::string name, addr, type, zone;
   bool spot = false, dead = false, fails_all = false, silent = false;
+  bool hung = false;       // does nothing at all, and may go on later
   bool unhearing = false;  // its reports arrive, answers and commands do not reach it
   uint64_t session = 1, seq = 0, token = 0;
   std::map<std::pair<std::string, int>, Task> tasks;
@@ -72,6 +73,8 @@
   bool reporting = false;
   int starts = 0;
   std::function<void(const std::string& job, int task)> on_start;
+  // Of all workers: results are kept, a task that is done exits as done when started.
+  std::set<std::pair<std::string, int>>* results = nullptr;
 };
 
 class World {
@@ -97,6 +100,9 @@
                     const std::string& body = "");
   void Kill(size_t node);
   void Start(size_t node);
+  // Stands still while its clocks run on; what arrives meanwhile waits for it.
+  void Freeze(size_t node);
+  void Thaw(size_t node);
   int OnMachines(const std::string& job) const;
   int OwnerOf(int part) const;
 
@@ -122,6 +128,11 @@
   // Requests that were lost, to be delivered late.
   std::vector<std::pair<size_t, Call>> held;
   void DeliverHeld();
+  // Copies of every request that changes something, for stories that repeat them.
+  bool keep_calls = false;
+  std::vector<std::pair<size_t, Call>> carried;
+  // Whatever comes of it, a repeat must change nothing that a rule forbids.
+  void RepeatCarried();
 
   Settings settings;
   FakeState state;
@@ -132,6 +143,7 @@
   std::map<std::string, Micros> run_time;               // of new jobs' tasks
   std::map<std::string, std::pair<Json, Json>> rented;  // request and answer, by name
   int rentals = 0, returns = 0;
+  std::set<std::pair<std::string, int>> results;
 
   Core& core(size_t node) { return *nodes_[node].core; }
   bool alive(size_t node) const { return nodes_[node].core != nullptr; }
@@ -150,6 +162,8 @@
     std::map<uint64_t, std::function<void(const Reply&)>> waiting;
     uint64_t next_request = 1;
     Micros next_tick = 0;
+    bool frozen = false;
+    std::vector<std::function<void()>> delayed;
   };
   void At(Micros when, std::function<void()> run);
   void Dispatch(size_t node, Outbox out);
@@ -157,6 +171,8 @@
   std::pair<int, std::string> Serve(size_t node, const Call& call, bool* hang);
   std::pair<int, Json> Cloud(const std::string& method, const std::string& target,
                              const Json& body);
+  // Runs it now, or once the node goes on.
+  void Deliver(size_t node, std::function<void()> run);
   void AnswerCall(size_t node, uint64_t boot, uint64_t call, int status, std::string body);
   void WorkerReports(FakeWorker* w);
   void Step();
