--- a/src/core/core.h
+++ b/src/core/core.h
@@ -345,7 +345,8 @@
   void DraftTail(Micros now, int part, Draft* draft);
   void DraftPlacement(Micros now, int part, Draft* draft);
   void PreemptTeam(Micros now, int part, Draft* draft, const JobSpec& spec);
-  void DraftPreemption(Micros now, int part, Draft* draft, const JobSpec& spec);
+  void LookForLesser(Draft* draft);
+  void DraftPreemption(Micros now, int part, Draft* draft, const JobSpec& spec, int tasks);
   bool DraftTake(Micros now, int part, Draft* draft, const JobSpec& spec);
   bool DraftShare(Micros now, int part, Draft* draft, const Team& team, const Share& want);
   void Commit(Micros now, int part, Draft* draft);
--- a/src/core/draft.h
+++ b/src/core/draft.h
@@ -18,6 +18,17 @@
     bool tail = false;
   };
 
+  // Tasks of a machine that may have to make way.
+  struct Lesser {
+    struct Task {
+      Attempt attempt;
+      AttemptInfo* info;
+      const JobSpec* spec;
+    };
+    Amount room;  // free, or about to be, and promised to nobody in this round
+    std::vector<Task> tasks;
+  };
+
   Roster roster;                 // the part's own, as it is to become
   std::map<int, Roster> others;  // those of other parts that change with it
   std::vector<PlaceMachine> machines;
@@ -41,6 +52,9 @@
   std::set<std::string> service_images;  // of all services that run
   std::vector<Unmet> unmet;
   std::map<std::string, int> moved;  // jobs that go to another part
+  bool looked_for_lesser = false;
+  std::map<std::string, Lesser> lesser;  // by machine
+  int preempted = 0;                     // tasks that were told to make way
   bool urgent = false;
   bool critical = false;     // starts work of the highest priority
   bool all_rosters = false;  // conditional on every roster (adoption)
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -35,8 +35,9 @@
 constexpr size_t kOtherConditions = 10;
 constexpr size_t kMostDone = 8;  // jobs that one round calls done
 constexpr Micros kTellPeriod = 5 * kSecond;
-constexpr int kMostPreemptions = 8;
-constexpr int64_t kLendBelow = 10;  // steady cpus for each that is kept free
+constexpr int kMostPreemptions = 32;  // jobs that others make way for in one round
+constexpr int kMostPreempted = 64;    // tasks that do
+constexpr int64_t kLendBelow = 10;    // steady cpus for each that is kept free
 // Chunks whose stored content differs between two states of a roster.
 std::set<int> ChangedChunks(const Roster& before, const Roster& after) {
   std::set<int> out;
@@ -723,9 +724,9 @@
         Log(LogLine::Level::kDebug,
             "no room for " + spec.id + " (" + std::to_string(left) + " left)");
       }
-      // One machine for each of them in a round, and not for too many at once.
+      // Not for too many at once.
       if (spec.priority == Priority::kProduction && ++preemptions <= kMostPreemptions) {
-        DraftPreemption(now, part, draft, spec);
+        DraftPreemption(now, part, draft, spec, left);
       }
     }
   }
@@ -799,57 +800,89 @@
   Push(now, part, best_info->machine);
 }
 
-// Makes room for critical work by stopping the least important work that is in
-// its way. What is being stopped already counts as room to come.
-void Core::DraftPreemption(Micros now, int part, Draft* draft, const JobSpec& spec) {
-  (void)part;
-  JobSpread& spread = draft->SpreadOf(spec);
-  const PlaceMachine* best = nullptr;
-  int64_t best_cost = 0;
-  std::vector<Attempt> best_stops;
+// What may be stopped on each machine, looked up once a round.
+void Core::LookForLesser(Draft* draft) {
+  draft->looked_for_lesser = true;
   for (const PlaceMachine& m : draft->machines) {
-    if (!m.usable || !m.helps.empty() || !Allowed(spec, spread, m)) continue;
-    if (!spec.each.Fits(m.free + m.lesser)) continue;
     auto roster = draft->roster.machines.find(m.name);
-    if (roster == draft->roster.machines.end()) continue;
-    Amount room = m.free;
-    std::vector<Attempt> stops;
-    int64_t cost = 0;
+    if (!m.usable || !m.helps.empty() || roster == draft->roster.machines.end()) continue;
+    if (m.lesser.cpus <= 0 && m.lesser.memory <= 0 && m.lesser.gpus <= 0) continue;
+    Draft::Lesser& lesser = draft->lesser[m.name];
+    lesser.room = m.free;
     for (const Attempt& a : roster->second.attempts) {
       auto at = attempts_.find(a);
       const JobEntry* job = FindJob(a.job);
       if (at == attempts_.end() || job == nullptr) continue;
-      if (at->second.stopping) room += job->record.spec.each;
+      if (at->second.stopping) {
+        lesser.room += job->record.spec.each;  // about to be free
+      } else if (at->second.seen) {
+        lesser.tasks.push_back({a, &at->second, &job->record.spec});
+      }
     }
-    if (spec.each.Fits(room)) return;  // will have room in a moment
-    for (const Attempt& a : roster->second.attempts) {
-      if (spec.each.Fits(room)) break;
-      auto at = attempts_.find(a);
-      const JobEntry* job = FindJob(a.job);
-      if (at == attempts_.end() || job == nullptr || at->second.stopping || !at->second.seen)
-        continue;
-      if (job->record.spec.priority >= spec.priority) continue;
-      room += job->record.spec.each;
-      cost += at->second.running_at == 0 ? 0 : now - at->second.running_at;
-      stops.push_back(a);
+  }
+}
+
+// Makes room for `tasks` of critical work by stopping the least important work that
+// is in its way, on as many machines as it takes: after a zone was lost hundreds of
+// replicas wait, and one machine at a time took half a minute. What is being stopped
+// already counts as room to come.
+void Core::DraftPreemption(Micros now, int part, Draft* draft, const JobSpec& spec, int tasks) {
+  if (!draft->looked_for_lesser) LookForLesser(draft);
+  JobSpread& spread = draft->SpreadOf(spec);
+  auto fits = [&spec](const Amount& room) {
+    int64_t n = 1 << 20;
+    if (spec.each.cpus > 0) n = std::min(n, room.cpus / spec.each.cpus);
+    if (spec.each.gpus > 0) n = std::min(n, room.gpus / spec.each.gpus);
+    if (spec.each.memory > 0) n = std::min(n, room.memory / spec.each.memory);
+    return static_cast<int>(std::max<int64_t>(0, n));
+  };
+  auto promise = [&](Draft::Lesser* lesser) {
+    for (int n = std::min(tasks, fits(lesser->room)); n > 0; --n, --tasks) {
+      lesser->room -= spec.each;
     }
-    if (!spec.each.Fits(room)) continue;
-    if (!m.Has(spec.image)) cost += 20 * kSecond;
-    if (best == nullptr || cost < best_cost) {
-      best = &m;
-      best_cost = cost;
-      best_stops = stops;
+  };
+  struct Choice {
+    Draft::Lesser* lesser;
+    const std::string* machine;
+    std::vector<size_t> stops;
+    int64_t cost;
+  };
+  std::vector<Choice> choices;
+  for (const PlaceMachine& m : draft->machines) {
+    auto found = draft->lesser.find(m.name);
+    if (found == draft->lesser.end() || !m.usable || !Allowed(spec, spread, m)) continue;
+    Draft::Lesser& lesser = found->second;
+    promise(&lesser);
+    if (tasks <= 0) return;
+    Choice choice{&lesser, &m.name, {}, 0};
+    Amount room = lesser.room;
+    for (size_t i = 0; i < lesser.tasks.size() && !spec.each.Fits(room); ++i) {
+      const Draft::Lesser::Task& t = lesser.tasks[i];
+      if (t.info->stopping || t.spec->priority >= spec.priority) continue;
+      room += t.spec->each;
+      choice.cost += t.info->running_at == 0 ? 0 : now - t.info->running_at;
+      choice.stops.push_back(i);
     }
+    if (!spec.each.Fits(room)) continue;
+    if (!m.Has(spec.image)) choice.cost += 20 * kSecond;
+    choice.cost /= std::clamp(fits(room), 1, tasks);
+    choices.push_back(std::move(choice));
   }
-  if (best == nullptr) return;
-  for (const Attempt& a : best_stops) {
-    auto at = attempts_.find(a);
-    const JobEntry* job = FindJob(a.job);
-    ++counters_.preempted;
-    StopAttempt(now, a, &at->second,
-                job->record.spec.checkpoint > 0 ? job->record.spec.save + kSecond : 0);
+  std::sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) {
+    return a.cost != b.cost ? a.cost < b.cost : *a.machine < *b.machine;
+  });
+  for (const Choice& c : choices) {
+    if (tasks <= 0 || draft->preempted >= kMostPreempted) return;
+    for (size_t i : c.stops) {
+      const Draft::Lesser::Task& t = c.lesser->tasks[i];
+      c.lesser->room += t.spec->each;
+      ++counters_.preempted;
+      ++draft->preempted;
+      StopAttempt(now, t.attempt, t.info, t.spec->checkpoint > 0 ? t.spec->save + kSecond : 0);
+    }
+    promise(c.lesser);
+    Push(now, part, *c.machine);
   }
-  Push(now, part, best->name);
 }
 
 // Free machines of other parts that may be taken now.
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -213,6 +213,28 @@
   EXPECT_KEPT(w);
 }
 
+TEST(FleetStories, ManyReplicasFindRoomAtOnceOnAFullFleet) {
+  World w(3, Rates);
+  w.capacity = 0;
+  for (int i = 0; i < 90; ++i) w.AddWorker("small");
+  w.Run(3 * kSecond);
+  for (int j = 0; j < 9; ++j) {
+    w.Submit(static_cast<size_t>(j % 3), World::Array("job-" + std::to_string(500 + j), 40));
+  }
+  w.Run(10 * kSecond);
+  for (int j = 0; j < 12; ++j) {
+    w.Submit(static_cast<size_t>(j % 3), World::Service("job-" + std::to_string(100 + j), 20));
+  }
+  EXPECT_TRUE(w.Until(
+      [&] {
+        int n = 0;
+        for (int j = 0; j < 12; ++j) n += w.OnMachines("job-" + std::to_string(100 + j));
+        return n == 240;
+      },
+      5 * kSecond));
+  EXPECT_KEPT(w);
+}
+
 TEST(FleetStories, RepeatsOfWhatWasCarriedOutChangeNothing) {
   Fleet w(100);
   w.capacity = 100;
