--- a/src/core/core.h
+++ b/src/core/core.h
@@ -272,7 +272,8 @@
     Micros return_at = 0;
     Micros idle_since = 0;
     Micros avoid_until = 0;    // refused a start for lack of room
-    uint64_t owned_claim = 0;  // claim under which it was last in a roster of ours
+    uint64_t owned_claim = 0;  // claim under which it is in a roster of ours
+    int last_part = -1;        // that had it
     bool drain = false;        // being cleared to be given back
     bool give_up = false;      // to be returned even with tasks on it
     std::vector<TaskReport> tasks;
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -113,21 +113,20 @@
     use.info = &info;
     use.slots.clear();
     if (info.owned_claim != p.my_claim) {
+      // It came to this part after the claim: by a move, which is entitled by its own
+      // revision. It may have been here before, under an older one.
       info.owned_claim = p.my_claim;
-      uint64_t revision = p.my_claim;
       auto chunk = p.chunks.find(ChunkOf(name, p.roster.chunks));
-      if (info.need_token < p.my_claim && chunk != p.chunks.end()) {
-        // It came to this part after the claim: by a move, which is entitled
-        // by its own revision.
-        revision = std::max(revision, chunk->second.version);
-        info.fence = std::max(info.fence, revision);
-        info.need_token = revision;
-        info.since = now;
-        info.idle_since = 0;
-        info.give_up = false;
-        info.returning = false;
-        info.probe = true;
-      }
+      uint64_t revision = p.my_claim;
+      if (chunk != p.chunks.end()) revision = std::max(revision, chunk->second.version);
+      info.fence = std::max(info.fence, revision);
+      info.need_token = std::max(info.need_token, revision);
+      info.since = now;
+      info.idle_since = 0;
+      info.give_up = info.drain = info.returning = false;
+      info.ordered.clear();
+      info.unheeded = info.lapses = 0;
+      info.probe = true;
       if (info.addr.empty()) info.addr = m.addr;
     }
     for (const Attempt& a : m.attempts) {
--- a/src/core/view.cc
+++ b/src/core/view.cc
@@ -254,6 +254,13 @@
     chunk.names.push_back(name);
     p.chunk_of[name] = index;
     machine_part_[name] = part;
+    // A machine that was here, went to another part and came back has seen a higher token
+    // than the one that we knew it by: it was refused until it counted as silent.
+    MachineInfo& info = machines_[name];
+    if (info.last_part != part) {
+      info.last_part = part;
+      info.owned_claim = 0;
+    }
     departed_.erase(name);
     unknown_.erase(name);
     stray_since_.erase(name);
--- a/tests/stories_test.cc
+++ b/tests/stories_test.cc
@@ -826,6 +826,28 @@
   }
 }
 
+TEST(Stories, AMachineThatComesBackToItsPartIsServedAtOnce) {
+  // Machines go from part to part as work comes to one or another. One that was here
+  // before has seen a higher token meanwhile.
+  World w;
+  w.capacity = 0;
+  for (int i = 0; i < 9; ++i) w.AddWorker("small");
+  w.Run(kReady);
+  uint64_t takes = 0;
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = "job-" + std::to_string(100 + i);
+    for (auto& [n, x] : w.workers) x->run_time[id] = 2 * kSecond;
+    JobSpec spec = World::Array(id, 4);
+    spec.each = {16000, 0, 32000};
+    w.Submit(static_cast<size_t>(i % 3), spec);
+    w.Run((1 + i % 4) * 700 * kMilli);
+  }
+  for (size_t n = 0; n < 3; ++n) takes += w.core(n).counters().takes;
+  EXPECT_GT(takes, 5u);
+  for (const auto& [n, x] : w.workers) EXPECT_EQ(x->session, 1u) << n;
+  EXPECT_KEPT(w);
+}
+
 // Hundreds of machines and thousands of tasks. What is bounded is counted work,
 // not time.
 TEST(FullSize, WorkIsDoneForWhatChanged) {
