--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -235,6 +235,35 @@
   EXPECT_KEPT(w);
 }
 
+TEST(FleetStories, TwoThousandMachinesTakeBoundedWork) {
+  Fleet w(2000);
+  w.Run(30 * kSecond);
+  int arrays = 0, done = 0;
+  for (int j = 0; j < 100; ++j, ++arrays) {
+    auto a =
+        w.AskUntil(static_cast<size_t>(j % 3), "GET", "/api/jobs/job-" + std::to_string(500 + j));
+    done += a.body.value("status", "") == "done" ? 1 : 0;
+  }
+  EXPECT_EQ(done, arrays);
+  EXPECT_EQ(w.Replicas(), kServices * kReplicas);
+  size_t chunks = 0;
+  for (int p = 0; p < 3; ++p) {
+    chunks += static_cast<size_t>(w.core(0).RosterOf(p).chunks);
+    // All of them and some jobs must fit the conditions of one transaction.
+    EXPECT_LT(w.core(0).RosterOf(p).chunks, 4 * w.settings.txn_ops / 3);
+  }
+  // 4,400 tasks were started and 4,000 of them ended.
+  // Seen: 650 puts, 200 commits, 630 rounds, 120 calls to the cloud, 5,400 to workers.
+  EXPECT_LT(w.Sum(&Counters::puts), 1100u);
+  EXPECT_LT(w.Sum(&Counters::commits), 400u);
+  EXPECT_LT(w.Sum(&Counters::rounds), 1500u);
+  EXPECT_LT(w.Sum(&Counters::cloud_calls), 250u);
+  EXPECT_LT(w.Sum(&Counters::worker_calls), 9000u);
+  EXPECT_EQ(w.Sum(&Counters::oversized), 0u);
+  EXPECT_LT(chunks, 30u);
+  EXPECT_KEPT(w);
+}
+
 TEST(FleetStories, RepeatsOfWhatWasCarriedOutChangeNothing) {
   Fleet w(100);
   w.capacity = 100;
