--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -897,6 +897,13 @@
     for (const auto& [name, m] : other.roster.machines) {
       if (!m.attempts.empty() || m.leaving || !m.helps.empty()) continue;
       if (m.addr.empty() || !draft->MayChange(name)) continue;  // still booting
+      // One that its owner misses is no room: dead machines went from part to part, and
+      // each began to wait for them anew.
+      auto known = machines_.find(name);
+      if (!other.mine && known != machines_.end() &&
+          (known->second.quiet_since != 0 || known->second.failed)) {
+        continue;
+      }
       auto since = free_since_.find(name);
       if (!other.mine && (since == free_since_.end() || now - since->second < after)) continue;
       if (other.mine) {
--- a/tests/stories_test.cc
+++ b/tests/stories_test.cc
@@ -826,6 +826,32 @@
   }
 }
 
+TEST(Stories, AFreeMachineThatItsOwnerMissesIsNotTaken) {
+  World w;
+  w.capacity = 0;
+  for (int i = 0; i < 9; ++i) w.AddWorker("small");
+  w.Run(1500 * kMilli);
+  std::map<std::string, int> part_of;
+  for (int p = 0; p < 3; ++p) {
+    for (const auto& [name, m] : w.core(0).RosterOf(p).machines) part_of[name] = p;
+  }
+  ASSERT_EQ(part_of.size(), 9u);
+  for (auto& [name, x] : w.workers) x->silent = part_of[name] != 0;
+  w.Run(3800 * kMilli);
+  for (int i = 0; i < 3; ++i) {
+    JobSpec wide = World::Array("job-" + std::to_string(10 + i), 9);
+    wide.each = {16000, 0, 32000};
+    w.Submit(static_cast<size_t>(i), wide);
+  }
+  w.Run(kSecond);
+  for (int p = 0; p < 3; ++p) {
+    for (const auto& [name, m] : w.core(0).RosterOf(p).machines) {
+      EXPECT_TRUE(!w.workers[name]->silent || p == part_of[name]) << name;
+    }
+  }
+  EXPECT_KEPT(w);
+}
+
 TEST(Stories, AMachineThatComesBackToItsPartIsServedAtOnce) {
   // Machines go from part to part as work comes to one or another. One that was here
   // before has seen a higher token meanwhile.
