--- a/src/core/budget.h
+++ b/src/core/budget.h
@@ -31,6 +31,11 @@
     have_ = std::min(have_, 0.0);
   }
   double have() const { return have_; }
+  void SetRate(Micros now, double per_second) {
+    if (per_second == rate_) return;
+    Refill(now);
+    rate_ = per_second;
+  }
 
  private:
   void Refill(Micros now) {
@@ -43,6 +48,29 @@
   Micros last_ = 0;
 };
 
+// Who waits for a budget goes first: of several that share one, those that take little
+// at a time would else leave nothing for one that takes much.
+class Turns {
+ public:
+  bool MayTake(Micros now, int who) const {
+    return waiting_ < 0 || waiting_ == who || now - since_ >= kForget;
+  }
+  // `got`: whether there was enough.
+  void Took(Micros now, int who, bool got) {
+    if (!got) {
+      waiting_ = who;
+      since_ = now;
+    } else if (waiting_ == who) {
+      waiting_ = -1;
+    }
+  }
+
+ private:
+  static constexpr Micros kForget = kSecond;  // it no longer asks
+  int waiting_ = -1;
+  Micros since_ = 0;
+};
+
 }  // namespace troutlink
 
 #endif  // TROUTLINK_CORE_BUDGET_H_
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -224,6 +224,18 @@
   return Flush();
 }
 
+// The limits of the state service and the cloud are shared by parts: who works for a
+// node that is away also has its share.
+void Core::ShareLimits(Micros now) {
+  const auto owned =
+      std::count_if(parts_.begin(), parts_.end(), [](const Part& p) { return p.mine; });
+  const double share =
+      kShareOfLimits * static_cast<double>(std::max<std::ptrdiff_t>(1, owned)) / s_.parts();
+  write_budget_.SetRate(now, s_.write_rps * share);
+  state_budget_.SetRate(now, s_.state_rps * share);
+  cloud_budget_.SetRate(now, s_.cloud_rps * share);
+}
+
 Outbox Core::Tick(Micros now, Micros wall) {
   wall_offset_ = wall - now;
   if (now_ != 0 && now - now_ > kStoodStill) {
@@ -244,6 +256,7 @@
   if (now >= next_gossip_) Gossip(now);
   RunLease(now);
   if (synced_) RunClaims(now);
+  ShareLimits(now);
   RunCloud(now);
   for (auto it = relays_.begin(); it != relays_.end();) {
     if (now - it->second.second > 3 * kSecond) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -393,6 +393,7 @@
                 std::string body, Micros timeout, Handler handler);
   void Answer(uint64_t request, int status, std::string body, int retry_after_s = 0);
   void Log(LogLine::Level level, std::string text);
+  void ShareLimits(Micros now);
   Outbox Flush();
   void After(Micros now);
   const JobEntry* FindJob(const std::string& id) const;
@@ -509,6 +510,7 @@
   Micros next_judge_ = 0;
   bool some_silent_ = false;
 
+  Turns write_turns_;  // of the parts that are ours
   Budget write_budget_;
   Budget state_budget_;
   Budget cloud_budget_;
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -1163,8 +1163,15 @@
     p.not_before = p.committed_at + kRoundPeriod;
     return;
   }
+  // Parts of one node take turns: a part with large commits once waited for a minute
+  // while another one's small ones took each write that there was.
   const double reserve = draft->critical ? 2 : urgent ? 4 : 6;
-  if (!write_budget_.Take(now, static_cast<double>(txn.writes.size()), reserve)) {
+  bool got = write_turns_.MayTake(now, part);
+  if (got) {
+    got = write_budget_.Take(now, static_cast<double>(txn.writes.size()), reserve);
+    write_turns_.Took(now, part, got);
+  }
+  if (!got) {
     p.dirty = true;
     p.not_before = now + 50 * kMilli;
     return;
--- a/tests/units_test.cc
+++ b/tests/units_test.cc
@@ -164,6 +164,31 @@
   EXPECT_TRUE(b.Take(3 * kSecond, 1));
 }
 
+TEST(Budget, WhoWaitsForMuchGetsItsTurnBesideWhoTakesLittle) {
+  // One node with two parts: one commits 2 writes at a time, the other 4.
+  Budget budget(15, 25);
+  Turns turns;
+  int taken[2] = {0, 0};
+  auto ask = [&](Micros now, int who, double n) {
+    bool got = turns.MayTake(now, who);
+    if (got) {
+      got = budget.Take(now, n, 4);
+      turns.Took(now, who, got);
+    }
+    taken[who] += got ? 1 : 0;
+  };
+  for (Micros now = kSecond; now < 61 * kSecond; now += 50 * kMilli) {
+    ask(now, 0, 2);
+    ask(now, 1, 4);
+  }
+  EXPECT_GT(taken[1], 100);
+  EXPECT_GT(taken[0], 100);
+  // One that waits no longer does not hold the others up.
+  turns.Took(61 * kSecond, 1, false);
+  EXPECT_FALSE(turns.MayTake(61 * kSecond, 0));
+  EXPECT_TRUE(turns.MayTake(63 * kSecond, 0));
+}
+
 TEST(Records, OneMoreChunkDividesOneAndLeavesTheOthers) {
   for (int chunks = 1; chunks < 20; ++chunks) {
     for (int i = 0; i < 500; ++i) {
