--- /dev/null
+++ b/src/core/cloud.cc
@@ -0,0 +1,308 @@
+// Calls to the cloud: rentals, returns, types, the list of machines, and whom to adopt.
+#include <algorithm>
+
+#include "base/ids.h"
+#include "core/core.h"
+#include "core/draft.h"
+
+namespace troutlink {
+
+namespace {
+constexpr Micros kCloudTimeout = 5 * kSecond;
+constexpr Micros kTypesPeriod = 60 * kSecond;
+constexpr Micros kJudgePeriod = 250 * kMilli;
+constexpr Micros kListPatience = 30 * kSecond;
+constexpr Micros kStrayAfter = 20 * kSecond;
+constexpr int kPageLimit = 500;
+}  // namespace
+
+void Core::DraftAdoption(Micros now, int part, Draft* draft) {
+  // Rentals that were answered.
+  for (auto it = draft->roster.hires.begin(); it != draft->roster.hires.end();) {
+    auto state = hires_.find(it->first);
+    if (state == hires_.end() || !state->second.done) {
+      ++it;
+      continue;
+    }
+    bool all = true;
+    for (const std::string& name : state->second.machines) {
+      if (PartOfMachine(name) >= 0) continue;
+      if (!draft->MayChange(name)) {
+        all = false;  // in a later round; until then the rental stays on record
+        continue;
+      }
+      RosterMachine m;
+      m.name = name;
+      m.type = it->second.ask.type;
+      m.zone = it->second.ask.zone;
+      m.spot = it->second.ask.spot;
+      m.helps = it->second.helps;
+      auto known = unknown_.find(name);  // it may be up already
+      if (known != unknown_.end()) m.addr = known->second.addr;
+      draft->roster.machines[name] = std::move(m);
+      draft->Change(name);
+    }
+    it = all ? draft->roster.hires.erase(it) : std::next(it);
+    draft->urgent = true;
+  }
+  // Machines that nobody has in a roster, by hash of their names. The commit is
+  // conditional on all rosters, so that no two parts take the same machine.
+  auto wanted = [&](const std::string& type, const std::string& zone, bool spot) {
+    for (int q = 0; q < s_.parts(); ++q) {
+      const Roster& r = q == part ? draft->roster : parts_[static_cast<size_t>(q)].roster;
+      for (const auto& [id, h] : r.hires) {
+        if (h.ask.type == type && h.ask.zone == zone && h.ask.spot == spot) return true;
+      }
+    }
+    return false;
+  };
+  int adopted = 0;
+  auto adopt = [&](const std::string& name, const std::string& addr, const std::string& type,
+                   const std::string& zone, bool spot) {
+    if (static_cast<int>(StableHash(name) % parts_.size()) != part) return;
+    if (PartOfMachine(name) >= 0 || draft->roster.machines.count(name) != 0) return;
+    if (departed_.count(name) != 0 || !draft->MayChange(name)) return;
+    if (wanted(type, zone, spot)) return;  // may be the answer to come
+    RosterMachine m;
+    m.name = name;
+    m.addr = addr;
+    m.type = type;
+    m.zone = zone;
+    m.spot = spot;
+    draft->roster.machines[name] = std::move(m);
+    draft->Change(name);
+    draft->all_rosters = true;
+    draft->urgent = true;
+    ++adopted;
+    ++counters_.adopted;
+  };
+  for (const auto& [name, report] : unknown_) {
+    if (adopted >= 50) break;
+    if (returned_.count(name) != 0) continue;
+    adopt(name, report.addr, report.type, report.zone, report.spot);
+  }
+  // A list may show what was given back long ago. At the very first start, when
+  // no part has rented anything yet, it can be trusted at once.
+  bool first_start = true;
+  for (const Part& p : parts_) first_start = first_start && p.roster.next_number == 1;
+  for (const ListedMachine& m : listed_) {
+    if (adopted >= 50) break;
+    if (m.state != ListedMachine::State::kRunning && m.age < kStrayAfter) continue;
+    if (m.state == ListedMachine::State::kFailed) continue;
+    auto since = stray_since_.find(m.name);
+    bool long_known = since != stray_since_.end() && now - since->second >= kStrayAfter;
+    if (!first_start && !long_known) continue;
+    adopt(m.name, m.addr, m.type, m.zone, m.spot);
+  }
+}
+
+void Core::SendHire(Micros now, int part, const std::string& request) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  auto hire = p.roster.hires.find(request);
+  if (!p.mine || hire == p.roster.hires.end()) return;
+  HireState& state = hires_[request];
+  if (state.sent || state.done || now < state.retry_at) return;
+  if (!cloud_budget_.Take(now, 1)) return;
+  state.sent = true;
+  const RentRequest ask = hire->second.ask;
+  Send(Dest::kCloud, "", "POST", wire::RentTarget(), wire::EncodeRent(ask), kCloudTimeout,
+       [this, part, request, ask](Micros t, int status, const std::string& body) {
+         HireState& h = hires_[request];
+         h.sent = false;
+         std::optional<std::vector<std::string>> rented;
+         if (status == 200) rented = wire::DecodeRented(body);
+         std::string key = OfferKey(ask.type, ask.zone, ask.spot);
+         if (rented) {
+           h.done = true;
+           h.machines = *rented;
+           counters_.hired += rented->size();
+           // Filled in part: there are no more at the moment.
+           if (static_cast<int>(rented->size()) < ask.count) {
+             Pause& pause = offer_pause_[key];
+             pause = {t + FromSeconds(s_.op.refusal_pause_s()), 1};
+           } else {
+             offer_pause_.erase(key);
+           }
+         } else if (status == 400 ||
+                    (status == 503 && body.find("no capacity") != std::string::npos)) {
+           h.done = true;
+           ++counters_.refused_hires;
+           // Every request costs writes and calls: ask less and less often.
+           Pause& pause = offer_pause_[key];
+           pause.until = t + (FromSeconds(s_.op.refusal_pause_s()) << std::min(pause.refusals, 2));
+           ++pause.refusals;
+         } else {
+           // May have been carried out: only a repeat of the same request tells.
+           h.retry_at = t + 1500 * kMilli;
+         }
+         Touch(part);
+       });
+}
+
+void Core::SendReturns(Micros now, int part) {
+  Part& p = parts_[static_cast<size_t>(part)];
+  if (!p.mine || !p.any_leaving) return;
+  std::vector<std::string> names;
+  for (const auto& [name, m] : p.roster.machines) {
+    MachineInfo& info = machines_[name];
+    if (!m.leaving || info.returning || returned_.count(name) != 0 || now < info.return_at)
+      continue;
+    names.push_back(name);
+    if (names.size() >= 100) break;
+  }
+  if (names.empty() || !cloud_budget_.Take(now, 1)) return;
+  for (const std::string& name : names) machines_[name].returning = true;
+  Send(Dest::kCloud, "", "POST", wire::ReturnTarget(), wire::EncodeReturn(names), kCloudTimeout,
+       [this, part, names](Micros t, int status, const std::string&) {
+         Part& q = parts_[static_cast<size_t>(part)];
+         for (const std::string& name : names) {
+           MachineInfo& info = machines_[name];
+           info.returning = false;
+           info.return_at = t + kSecond;
+           auto m = q.roster.machines.find(name);
+           if (status != 200 || m == q.roster.machines.end() || !q.mine) continue;
+           // Confirmed: the machine and everything on it is gone.
+           ++counters_.returned;
+           returned_.insert(name);
+           health_.ForgetMachine(name);
+           for (const Attempt& a : m->second.attempts) {
+             auto at = attempts_.find(a);
+             if (at != attempts_.end()) MarkGone(part, a, &at->second);
+           }
+         }
+         Touch(part);
+       });
+}
+
+void Core::AskTypes(Micros now) {
+  if (types_busy_ || now < next_types_ || !cloud_budget_.Take(now, 1)) return;
+  types_busy_ = true;
+  Send(Dest::kCloud, "", "GET", wire::MachineTypesTarget(), "", kCloudTimeout,
+       [this](Micros t, int status, const std::string& body) {
+         types_busy_ = false;
+         next_types_ = t + (status == 200 ? kTypesPeriod : 2 * kSecond);
+         if (status == 200) TakeTypes(t, body);
+       });
+}
+
+void Core::TakeTypes(Micros now, const std::string& body) {
+  std::optional<std::vector<MachineType>> types = wire::DecodeMachineTypes(body);
+  if (!types || types->empty()) return;
+  types_ = std::move(*types);
+  // Kept for the day on which we start while the cloud is away.
+  if (!types_stored_.empty() || !synced_ || !write_budget_.Take(now, 1, 2)) return;
+  types_stored_ = body;
+  StateTxn txn;
+  txn.writes.push_back({std::string(kRoot) + "types", body, 0, false});
+  ++counters_.puts;
+  Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kCloudTimeout,
+       [this](Micros, int status, const std::string&) {
+         if (status != 200) types_stored_.clear();
+       });
+}
+
+void Core::AskMachines(Micros now, const std::string& after) {
+  if (after.empty()) {
+    machines_asked_ = now;
+    listed_.clear();
+    list_pages_ = 0;
+  }
+  list_after_.clear();
+  Send(Dest::kCloud, "", "GET", wire::MachinesTarget(after, kPageLimit), "", kCloudTimeout,
+       [this](Micros t, int status, const std::string& body) {
+         std::optional<wire::MachinePage> page;
+         if (status == 200) page = wire::DecodeMachines(body);
+         if (!page) {
+           list_busy_ = false;
+           listed_.clear();
+           next_machines_ = t + 3 * kSecond;
+           return;  // the next list begins anew
+         }
+         listed_.insert(listed_.end(), page->machines.begin(), page->machines.end());
+         ++list_pages_;
+         if (page->more && !page->machines.empty()) {
+           // Goes on as soon as there is a call for it: a list that was dropped for
+           // want of one never showed more than the first pages of a large fleet.
+           list_after_ = page->machines.back().name;
+           return;
+         }
+         list_busy_ = false;
+         list_after_.clear();
+         // Half of our calls are left to rentals and returns.
+         const auto paced = static_cast<Micros>(2.0 * list_pages_ * s_.parts() / s_.cloud_rps *
+                                                static_cast<double>(kSecond));
+         next_machines_ =
+             machines_asked_ +
+             std::max(paced, some_silent_
+                                 ? 1500 * kMilli
+                                 : std::max<Micros>(2 * kSecond, s_.list_lag / 2 + kSecond));
+         TakeMachines(t);
+       });
+}
+
+void Core::TakeMachines(Micros now) {
+  std::set<std::string> names;
+  for (const ListedMachine& m : listed_) {
+    names.insert(m.name);
+    int part = PartOfMachine(m.name);
+    if (part < 0) {
+      stray_since_.try_emplace(m.name, now);
+      continue;
+    }
+    MachineInfo& info = machines_[m.name];
+    info.listed = true;
+    info.missing = false;
+    info.listed_running = m.state == ListedMachine::State::kRunning;
+    info.failed = m.state == ListedMachine::State::kFailed;
+    // Of a booting machine the address is of no use yet: a call would hang, and
+    // keep the first real one waiting.
+    if (info.addr.empty() && info.listed_running) info.addr = m.addr;
+  }
+  for (const Part& p : parts_) {
+    for (const auto& [name, m] : p.roster.machines) {
+      MachineInfo& info = machines_[name];
+      // A list may be older than the one before it: only a machine that has
+      // been up for longer than any list lags is missed.
+      bool old = info.first_heard != 0 && machines_asked_ - info.first_heard > 3 * s_.list_lag;
+      if (old && info.listed && names.count(name) == 0) info.missing = true;
+    }
+  }
+  std::erase_if(departed_, [&](const auto& d) {
+    return now - d.second > 60 * kSecond && names.count(d.first) == 0;
+  });
+  std::erase_if(stray_since_, [&](const auto& s) {
+    return names.count(s.first) == 0 && unknown_.count(s.first) == 0;
+  });
+  std::erase_if(machines_, [&](const auto& m) {
+    return machine_part_.count(m.first) == 0 && names.count(m.first) == 0 &&
+           now - std::max(m.second.heard, m.second.redirected_at) > 120 * kSecond;
+  });
+}
+
+void Core::RunCloud(Micros now) {
+  AskTypes(now);
+  bool any = false;
+  if (now >= next_judge_) some_silent_ = false;
+  for (int part = 0; part < s_.parts(); ++part) {
+    Part& p = parts_[static_cast<size_t>(part)];
+    if (!p.mine) continue;
+    any = true;
+    for (const auto& [id, h] : p.roster.hires) SendHire(now, part, id);
+    SendReturns(now, part);
+    if (now >= next_judge_) JudgeMachines(now, part);
+  }
+  if (now >= next_judge_) next_judge_ = now + kJudgePeriod;
+  // Rentals and returns come first.
+  if (any && synced_ && list_busy_ && !list_after_.empty()) {
+    if (now - machines_asked_ > kListPatience) {
+      list_busy_ = false;  // its first pages are too old
+    } else if (cloud_budget_.Take(now, 1, 1))
+      AskMachines(now, std::string(list_after_));
+  } else if (any && synced_ && !list_busy_ && now >= next_machines_ &&
+             cloud_budget_.Take(now, 1, 1)) {
+    list_busy_ = true;
+    AskMachines(now, "");
+  }
+}
+
+}  // namespace troutlink
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -310,7 +310,7 @@
   void TouchImage(MachineInfo* info, const std::string& type, const std::string& image, double gb,
                   Micros now);
 
-  // --- rounds (rounds.cc) --------------------------------------------------------
+  // --- rounds (rounds, placing, taking, preemption, helping, commit .cc) ---------
   struct JobRun {
     int part = 0;
     std::vector<uint8_t> tasks;  // kWaiting, kPlaced, kDone
@@ -371,7 +371,7 @@
   void AddHire(int part, Draft* draft, const Offer& offer, bool spot, int count,
                const std::string& helps, const std::string& reason);
 
-  // --- fleet (fleet.cc) -------------------------------------------------------------
+  // --- fleet (fleet.cc, cloud.cc, silence.cc) ----------------------------------
   void RunCloud(Micros now);
   void AskTypes(Micros now);
   void AskMachines(Micros now, const std::string& after);
@@ -386,6 +386,7 @@
   bool PickOffer(Micros now, const JobSpec& spec, const JobSpread& spread, bool spot,
                  const std::map<std::string, int>& in_zone, Offer* offer) const;
   static std::map<std::string, int> InZones(const Roster& roster);
+  static std::string OfferKey(const std::string& type, const std::string& zone, bool spot);
 
   // --- plumbing (core.cc) --------------------------------------------------------------
   using Handler = std::function<void(Micros now, int status, const std::string& body)>;
