--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -328,6 +328,16 @@
           std::to_string(wanted / 1000) + " cpus, " + std::to_string(draft.roster.hires.size()) +
           " rentals, " + std::to_string(write_budget_.have()) + " writes, " +
           std::to_string(cloud_budget_.have()) + " calls left");
+  // Of this process, since its start: what is added up over a day comes from the log, as
+  // counters end with their process.
+  const Counters& c = counters_;
+  Log(LogLine::Level::kDebug,
+      "counted: starts " + std::to_string(c.starts) + ", tails " + std::to_string(c.tails) +
+          ", helpers " + std::to_string(c.helpers) + ", overdue " + std::to_string(c.overdue) +
+          ", preempted " + std::to_string(c.preempted) + ", cleared " +
+          std::to_string(c.consolidated) + ", accepted " + std::to_string(c.accepted) + ", puts " +
+          std::to_string(c.puts) + ", commits " + std::to_string(c.commits) + ", conflicts " +
+          std::to_string(c.commit_conflicts));
 }
 
 // A transaction holds so many changes and so many bytes. A roster of more
