--- a/tests/stories_test.cc
+++ b/tests/stories_test.cc
@@ -826,6 +826,27 @@
   }
 }
 
+TEST(Stories, ACopyOfAStartAfterItsReapStartsNothing) {
+  World w;
+  w.capacity = 0;
+  FakeWorker& first = w.AddWorker("small");
+  w.Run(kReady);
+  w.keep_calls = true;
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 4)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-1") == 4; }, 10 * kSecond));
+  w.Run(3 * kSecond);
+  // Pushed aside there, and reaped; it goes on elsewhere.
+  w.AskUntil(1, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-2", 8)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-2") == 8; }, 10 * kSecond));
+  w.Run(3 * kSecond);
+  FakeWorker& second = w.AddWorker("small");
+  ASSERT_TRUE(w.Until([&] { return second.Has("job-1"); }, 60 * kSecond));
+  ASSERT_FALSE(first.Has("job-1"));
+  w.RepeatCarried();
+  EXPECT_FALSE(first.Has("job-1"));
+  EXPECT_KEPT(w);
+}
+
 TEST(Stories, AFreeMachineThatItsOwnerMissesIsNotTaken) {
   World w;
   w.capacity = 0;
