A cancel told from a view is told to siblings too, whoever committed it

Cause: a node told its siblings only of cancels whose transaction it saw succeed itself. One whose answer was lost, or that was carried out late, is told to users by another node from its view, while that node's pongs moved the old owner's knowledge forward. With the owner refused by the state service and then an outage for all, its workers' leases were renewed for as long as the outage lasted.

Now pings tell up to which revision the sender's view is complete, and each message bears every cancel of the sender's view above that, so a pong answers for all that its sender can have told. Cancels heard from siblings are passed on, the answer to a forwarded request is acted on, an answer to a report that a direct answer overtook bears its stops, and a stop in a direct command without an answer is sent again.

--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -440,7 +440,6 @@
          if (reply) state_ok_ = t;
          if (status == 200 && reply) {
            // Siblings must be able to hear of it before the user does.
-           accepted_cancels_.emplace_back(t, query.id);
            next_gossip_ = t;
            ApplyPut(t, write.key, write.value, reply->revision);
            Answer(query.request, 200, wire::EncodeJobState(query.id, "cancelled"));
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -174,7 +174,7 @@
   if (const auto* ping = std::get_if<mesh::Ping>(&message)) {
     TakeGossip(now, from, *ping);
     mesh::Pong pong;
-    static_cast<mesh::Gossip&>(pong) = MakeGossip(now, false);
+    static_cast<mesh::Gossip&>(pong) = MakeGossip(now, false, ping->seen);
     pong.seq = ping->seq;
     out_.peers.push_back({from, std::move(pong)});
   } else if (const auto* pong = std::get_if<mesh::Pong>(&message)) {
@@ -184,8 +184,10 @@
     bool same = p.boot == pong->boot;
     TakeGossip(now, from, *pong);
     if (sent != p.pings.end()) {
-      if (same && (p.reset_at == 0 || view_at_ > p.reset_at)) {
-        p.known = std::max(p.known, sent->second);
+      // Nor one that had to leave out cancels that our view does not hold either.
+      if (same && (p.reset_at == 0 || view_at_ > p.reset_at) &&
+          pong->cancels_from <= sent->second.seen) {
+        p.known = std::max(p.known, sent->second.at);
       }
       p.pings.erase(p.pings.begin(), std::next(sent));
     }
@@ -212,6 +214,11 @@
       if (open != open_.end()) {
         open->second.forward = 0;
         if (answer->status < 429) {
+          // What we tell a user we act on as well, even if the sibling ends before it
+          // tells us as one of its cancels.
+          std::optional<JobStatus> status;
+          if (answer->status == 200) status = wire::DecodeJobStatus(answer->body);
+          if (status && status->state == "cancelled") HearCancel(now, status->id);
           Answer(request, static_cast<int>(answer->status), answer->body);
         } else if (open->second.refused) {
           Reply refusal = open->second.refusal;
@@ -268,9 +275,6 @@
   }
   now_ = now;
   RunForwards(now);
-  while (!accepted_cancels_.empty() && accepted_cancels_.front().first + 2 * s_.cancel < now) {
-    accepted_cancels_.pop_front();
-  }
   After(now);
   return Flush();
 }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -153,7 +153,9 @@
 
   // --- ownership (ownership.cc) ----------------------------------------------
   void Gossip(Micros now);
-  mesh::Gossip MakeGossip(Micros now, bool warm) const;
+  // `seen`: the receiver's view holds all up to this revision.
+  mesh::Gossip MakeGossip(Micros now, bool warm, uint64_t seen) const;
+  void HearCancel(Micros now, const std::string& id);
   void TakeGossip(Micros now, const std::string& from, const mesh::Gossip& gossip);
   void RunLease(Micros now);
   void RunClaims(Micros now);
@@ -291,6 +293,9 @@
   bool MayCare(Micros now, int part, const Report& report) const;
   void AnswerReport(uint64_t request, const std::string& relay_from, uint64_t relay_id, int status,
                     std::string body);
+  // Stops of what a report shows of jobs that are over: each answer that renews a lease
+  // bears them.
+  std::vector<Command> StopsOfOver(const Report& report) const;
   void NoteAnswer(Micros now, MachineInfo* info, const std::vector<Command>& orders);
   void CheckHeeded(Micros now, int part, MachineInfo* info, const Report& report, bool new_session);
   bool TakeReport(Micros now, int part, const RosterMachine& machine, const Report& report,
@@ -444,21 +449,27 @@
   struct Peer {
     std::string label;
     uint64_t boot = 0;
-    Micros heard = 0;                  // last message
-    Micros known = 0;                  // its accepted cancels are known up to here
-    Micros reset_at = 0;               // it restarted then, and may have forgotten some
-    Micros state_age = 0;              // at `heard`
-    std::map<uint64_t, Micros> pings;  // in flight
-    std::set<uint64_t> holds;          // parts that it says are its own
-    std::set<std::string> quiet;       // machines that it missed when it last spoke
+    Micros heard = 0;      // last message
+    Micros known = 0;      // all cancels that it knew then are known to us
+    uint64_t seen = 0;     // its view holds all up to this revision
+    Micros reset_at = 0;   // it restarted then, and may have forgotten some
+    Micros state_age = 0;  // at `heard`
+    struct Sent {
+      Micros at = 0;
+      uint64_t seen = 0;  // of ours, as the ping told it
+    };
+    std::map<uint64_t, Sent> pings;  // in flight
+    std::set<uint64_t> holds;        // parts that it says are its own
+    std::set<std::string> quiet;     // machines that it missed when it last spoke
   };
   std::map<std::string, Peer> peers_;
   Micros now_ = 0;  // of the last tick
   uint64_t ping_seq_;
   Micros next_gossip_ = 0;
   Micros next_warm_ = 0;
-  std::deque<std::pair<Micros, std::string>> accepted_cancels_;
-  std::set<std::string> heard_cancels_;  // from peers, perhaps before the view
+  std::map<uint64_t, std::string> cancelled_;  // of the view, by revision; the newest ones
+  uint64_t cancelled_from_ = 0;                // all of the view's above this revision
+  std::set<std::string> heard_cancels_;        // from peers, perhaps before the view
 
   // Acceptance.
   std::map<uint64_t, OpenRequest> open_;
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -13,9 +13,10 @@
 constexpr Micros kStateTimeout = 1500 * kMilli;
 constexpr Micros kRenewMargin = 1500 * kMilli;
 constexpr Micros kHeardSlack = 3 * kSecond;
+constexpr size_t kMostCancels = 4000;  // in one message, beside those of the view
 }  // namespace
 
-mesh::Gossip Core::MakeGossip(Micros now, bool warm) const {
+mesh::Gossip Core::MakeGossip(Micros now, bool warm, uint64_t seen) const {
   mesh::Gossip g;
   g.boot = boot_;
   g.uptime_us = static_cast<uint64_t>(now - started_);
@@ -47,7 +48,19 @@
       if (!has.images.empty() && g.warm.size() < kMostWarm) g.warm.push_back(std::move(has));
     }
   }
-  for (const auto& [when, id] : accepted_cancels_) g.cancels.push_back(id);
+  // Whatever we may tell a user, whoever committed it. Only what a node had committed
+  // itself used to be told: a cancel whose answer was lost, or that was carried out late,
+  // reached users through another node's view and never a sibling without the state
+  // service, and its tasks lived on.
+  for (auto it = cancelled_.upper_bound(seen); it != cancelled_.end(); ++it) {
+    g.cancels.push_back(it->second);
+  }
+  for (const std::string& id : heard_cancels_) {
+    if (g.cancels.size() >= kMostCancels) break;
+    g.cancels.push_back(id);
+  }
+  g.cancels_from = cancelled_from_;
+  g.seen = watch_revision_;
   const Part& own = parts_[static_cast<size_t>(s_.own_part)];
   if (synced_ && !own.mine && own.claim_version != 0 && StateFresh(now) &&
       now - started_ > FromSeconds(s_.op.hand_back_after_s())) {
@@ -61,12 +74,11 @@
   // What machines hold is long and changes slowly.
   const bool warm = now >= next_warm_;
   if (warm) next_warm_ = now + kWarmPeriod;
-  const mesh::Gossip gossip = MakeGossip(now, warm);
   for (auto& [label, peer] : peers_) {
     mesh::Ping ping;
-    static_cast<mesh::Gossip&>(ping) = gossip;
+    static_cast<mesh::Gossip&>(ping) = MakeGossip(now, warm, peer.seen);
     ping.seq = ++ping_seq_;
-    peer.pings[ping.seq] = now;
+    peer.pings[ping.seq] = {now, watch_revision_};
     while (peer.pings.size() > 64) peer.pings.erase(peer.pings.begin());
     out_.peers.push_back({label, std::move(ping)});
   }
@@ -81,6 +93,7 @@
     peer.reset_at = now;
   }
   peer.heard = now;
+  peer.seen = gossip.seen;
   peer.state_age =
       static_cast<Micros>(std::min<uint64_t>(gossip.state_age_us, static_cast<uint64_t>(1) << 60));
   peer.holds.clear();
@@ -96,14 +109,7 @@
       }
     }
   }
-  for (const std::string& id : gossip.cancels) {
-    auto job = jobs_.find(id);
-    if (job != jobs_.end() && job->second.record.state != JobState::kOpen) continue;
-    if (!heard_cancels_.insert(id).second) continue;
-    // Our view may lag, or we may be cut off from the state service: the tasks
-    // must end all the same.
-    StopJob(now, id);
-  }
+  for (const std::string& id : gossip.cancels) HearCancel(now, id);
   for (const mesh::Warm& w : gossip.warm) {
     int part = PartOfMachine(w.machine);
     if (part < 0 || parts_[static_cast<size_t>(part)].mine) continue;
@@ -133,6 +139,18 @@
   }
 }
 
+// Our view may lag, or we may be cut off from the state service: the tasks must end
+// all the same.
+void Core::HearCancel(Micros now, const std::string& id) {
+  const JobEntry* job = FindJob(id);
+  if (job != nullptr && job->record.state != JobState::kOpen) return;
+  if (!heard_cancels_.insert(id).second) return;
+  StopJob(now, id);
+  for (int p = 0; p < s_.parts(); ++p) {
+    if (parts_[static_cast<size_t>(p)].mine) Touch(p);
+  }
+}
+
 void Core::RunLease(Micros now) {
   if (lease_busy_ || now < lease_retry_) return;
   Micros life = FromSeconds(s_.op.claim_life_s());
--- a/src/core/view.cc
+++ b/src/core/view.cc
@@ -10,6 +10,7 @@
 constexpr Micros kWatchHold = 2 * kSecond;
 constexpr Micros kListTimeout = 2 * kSecond;
 constexpr int kListLimit = 500;
+constexpr size_t kMostCancelled = 4000;  // kept to be told to siblings
 const std::string kTypesKey = std::string(kRoot) + "types";
 }  // namespace
 
@@ -143,6 +144,13 @@
       }
       int part = entry.record.part;
       bool known_part = part >= 0 && part < s_.parts();
+      if (entry.record.state == JobState::kCancelled) {
+        cancelled_[version] = k.id;  // each is a transaction of its own
+        while (cancelled_.size() > kMostCancelled) {
+          cancelled_from_ = std::max(cancelled_from_, cancelled_.begin()->first);
+          cancelled_.erase(cancelled_.begin());
+        }
+      }
       if (entry.record.state != JobState::kOpen) {
         heard_cancels_.erase(k.id);
         auto run = runs_.find(k.id);
--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -69,14 +69,8 @@
     // whoever claims the part later has a higher one. Nothing is started; what
     // was cancelled ends.
     ++counters_.cared;
-    std::vector<Command> orders;
-    for (const TaskReport& t : report->tasks) {
-      if (t.state != TaskState::kExited && JobOver(t.job)) {
-        orders.push_back({Command::Op::kStop, t.job, t.task, t.attempt, 0});
-      }
-    }
     AnswerReport(request, relay_from, relay_id, 200,
-                 wire::EncodeReportReply(report->token, orders));
+                 wire::EncodeReportReply(report->token, StopsOfOver(*report)));
     return;
   }
   if (!in_roster || superseded || p.my_claim == 0) {
@@ -136,11 +130,25 @@
     // Late, from a session that is over.
     AnswerReport(request, relay_from, relay_id, 503, wire::EncodeError("old session"));
     return;
+  } else {
+    // A report that a direct answer overtook. Without its stops the answer would renew the
+    // lease of a task that is cancelled, and the machine may hang right after it.
+    orders = StopsOfOver(*report);
   }
   NoteAnswer(now, &info, orders);
   AnswerReport(request, relay_from, relay_id, 200, wire::EncodeReportReply(token, orders));
 }
 
+std::vector<Command> Core::StopsOfOver(const Report& report) const {
+  std::vector<Command> stops;
+  for (const TaskReport& t : report.tasks) {
+    if (t.state != TaskState::kExited && JobOver(t.job)) {
+      stops.push_back({Command::Op::kStop, t.job, t.task, t.attempt, 0});
+    }
+  }
+  return stops;
+}
+
 void Core::NoteAnswer(Micros now, MachineInfo* info, const std::vector<Command>& orders) {
   info->answered_at = now;
   info->ordered.clear();
@@ -480,7 +488,7 @@
   if (!MayRenew(now)) return;
   const bool clean = info.token_seen >= info.need_token;
   std::vector<Command> orders;
-  std::vector<Attempt> started;
+  std::vector<Attempt> started, stopped;
   for (const Attempt& a : machine->second.attempts) {
     auto it = attempts_.find(a);
     if (it == attempts_.end() || it->second.gone) continue;
@@ -490,6 +498,7 @@
       if (over) StopAttempt(now, a, &at, 0);
       orders.push_back({Command::Op::kStop, a.job, a.task, a.number, at.grace});
       at.stop_sent = true;
+      stopped.push_back(a);
     } else if (at.fresh && !at.seen && !at.stopping && !over && at.session == 0 && clean) {
       at.direct = true;
       at.start_token = TokenOf(part, info);
@@ -507,8 +516,8 @@
   uint64_t token = TokenOf(part, info);
   Send(Dest::kWorker, info.addr, "POST", std::string(wire::kCommandsPath),
        wire::EncodeCommands(token, info.session, orders), kCommandTimeout,
-       [this, part, name, token, started, claim = p.my_claim](Micros t, int status,
-                                                              const std::string& body) {
+       [this, part, name, token, started, stopped, claim = p.my_claim](Micros t, int status,
+                                                                       const std::string& body) {
          MachineInfo& mi = machines_[name];
          mi.direct_busy = false;
          for (const Attempt& a : started) {
@@ -526,6 +535,11 @@
            Touch(part);
          }
          if (!report) {
+           // A machine that reaches no controller hears of stops in no other way.
+           for (const Attempt& a : stopped) {
+             auto it = attempts_.find(a);
+             if (it != attempts_.end()) it->second.stop_sent = false;
+           }
            mi.no_direct_before = t + (kSecond << std::min(mi.direct_failures, 2));
            ++mi.direct_failures;
            return;
--- a/src/mesh/codec.cc
+++ b/src/mesh/codec.cc
@@ -36,6 +36,8 @@
   }
   PutVarint(out, g.cancels.size());
   for (const std::string& c : g.cancels) PutText(out, c);
+  PutVarint(out, g.cancels_from);
+  PutVarint(out, g.seen);
   PutVarint(out, g.wanted.size());
   for (uint64_t p : g.wanted) PutVarint(out, p);
   PutVarint(out, g.warm.size());
@@ -68,6 +70,7 @@
   for (std::string& c : g->cancels) {
     if (!GetText(in, &c)) return false;
   }
+  if (!GetVarint(in, &g->cancels_from) || !GetVarint(in, &g->seen)) return false;
   if (!GetLength(in, &n)) return false;
   g->wanted.resize(n);
   for (uint64_t& p : g->wanted) {
--- a/src/mesh/codec.h
+++ b/src/mesh/codec.h
@@ -46,8 +46,12 @@
   uint64_t uptime_us = 0;
   uint64_t state_age_us = 0;  // since the state service last answered us
   std::vector<PartClaim> claims;
-  std::vector<std::string> cancels;  // accepted by the sender since its start
-  std::vector<uint64_t> wanted;      // parts the sender would like handed back
+  // Cancelled jobs that the sender knows of, whoever committed them, but for those with a
+  // revision up to the receiver's `seen`; complete above `cancels_from`.
+  std::vector<std::string> cancels;
+  uint64_t cancels_from = 0;
+  uint64_t seen = 0;             // the sender's view holds all up to this revision
+  std::vector<uint64_t> wanted;  // parts the sender would like handed back
   std::vector<Warm> warm;
   std::vector<Quiet> quiet;
   bool operator==(const Gossip&) const = default;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -29,6 +29,8 @@
 Json EncodeSpec(const JobSpec& spec);
 std::string EncodeJobState(std::string_view id, std::string_view state);
 std::string EncodeJobStatus(const JobStatus& status);
+// Of either answer; counts that are missing are 0.
+std::optional<JobStatus> DecodeJobStatus(std::string_view body);
 std::string EncodeError(std::string_view why);
 // The job id of `/api/jobs/{id}` or `/api/jobs/{id}/abort`; empty: no such path.
 struct JobPath {
--- a/src/wire/user.cc
+++ b/src/wire/user.cc
@@ -174,6 +174,22 @@
       Json{{"name_id", s.id}, {"status", s.state}, {"done", s.done}, {"running", s.running}});
 }
 
+std::optional<JobStatus> DecodeJobStatus(std::string_view body) {
+  std::optional<Json> doc = Unpack(body);
+  if (!doc || !doc->is_object()) return std::nullopt;
+  auto text = [&doc](const char* name) {
+    auto it = doc->find(name);
+    return it != doc->end() && it->is_string() ? it->get<std::string>() : std::string();
+  };
+  auto count = [&doc](const char* name) {
+    auto it = doc->find(name);
+    return it != doc->end() && it->is_number_integer() ? it->get<int64_t>() : int64_t{0};
+  };
+  JobStatus s{text("name_id"), text("status"), count("done"), count("running")};
+  if (s.id.empty() || s.state.empty()) return std::nullopt;
+  return s;
+}
+
 std::string EncodeError(std::string_view why) { return Pack(Json{{"error", why}}); }
 
 std::optional<JobPath> ParseJobPath(std::string_view target) {
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -7,6 +7,7 @@
 
 constexpr Micros kLatency = 2 * kMilli;
 constexpr Micros kTick = 50 * kMilli;
+constexpr Micros kCheck = 20 * kMilli;
 constexpr Micros kLease = 10 * kSecond;
 constexpr Micros kReport = 2 * kSecond;
 
@@ -290,16 +291,107 @@
   w->run_time = run_time;
   w->results = &results;
   FakeWorker* raw = w.get();
-  w->on_start = [this, raw](const std::string& job, int task) {
-    for (const auto& [other, o] : workers) {
-      if (o.get() == raw || o->dead) continue;
-      auto it = o->tasks.find({job, task});
-      if (it != o->tasks.end() && it->second.state != TaskState::kExited) {
-        broken.push_back("ran_twice " + TaskName(job, task));
+  w->on_start = [this, raw](const std::string& job, int task) { OnStart(*raw, job, task); };
+  return *(workers[name] = std::move(w));
+}
+
+void World::Break(const std::string& what) {
+  // The same thing is noticed at many steps: once is enough.
+  if (std::find(broken.begin(), broken.end(), what) == broken.end()) broken.push_back(what);
+}
+
+void World::OnStart(const FakeWorker& on, const std::string& job, int task) {
+  int of_job = 0, in_zone = 0;
+  for (const auto& [other, o] : workers) {
+    if (o->dead) continue;
+    for (auto it = o->tasks.lower_bound({job, 0}); it != o->tasks.end() && it->first.first == job;
+         ++it) {
+      if (it->second.state == TaskState::kExited) continue;
+      if (o.get() != &on && it->first.second == task) Break("ran_twice " + TaskName(job, task));
+      ++of_job;
+      in_zone += o->zone == on.zone ? 1 : 0;
+    }
+  }
+  auto known = jobs_.find(job);
+  if (known == jobs_.end()) return;
+  const JobSpec& spec = known->second.spec;
+  if ((on.spot && !spec.spot) || (!spec.zone.empty() && spec.zone != on.zone) ||
+      (!spec.types.empty() &&
+       std::find(spec.types.begin(), spec.types.end(), on.type) == spec.types.end()) ||
+      (spec.spread && in_zone + 1 > (spec.tasks + 1) / 2) || (spec.one_zone && of_job != in_zone)) {
+    Break("wrong_place " + TaskName(job, task) + " on " + on.name);
+  }
+  const Micros told = known->second.cancelled;
+  if (told != 0) {
+    ++starts_after_cancel;
+    if (now > told + settings.cancel) Break("ran_cancelled: started " + TaskName(job, task));
+  }
+}
+
+// What users may be told, given what they were told before they asked.
+void World::NoteAnswer(Micros asked, const std::string& target, const std::string& method,
+                       const std::string& body, const Reply& reply) {
+  const bool submission = target == "/api/jobs";
+  std::string id;
+  JobSpec spec;
+  if (submission) {
+    std::string why;
+    auto decoded = wire::DecodeSubmission(body, &why);
+    if (!decoded) return;
+    spec = *decoded;
+    id = spec.id;
+  } else if (auto path = wire::ParseJobPath(target)) {
+    id = path->id;
+  } else {
+    return;
+  }
+  auto it = jobs_.find(id);
+  if (it == jobs_.end()) {
+    if (!submission && reply.status == 200) Break("invented " + id);
+    return;
+  }
+  Known& known = it->second;
+  const bool was_known = known.accepted != 0 && known.accepted < asked;
+  if (was_known && (reply.status == 404 || reply.status == 400 || reply.status == 422)) {
+    Break("forgotten " + id + ": " + method + " gave " + std::to_string(reply.status));
+  }
+  if (reply.status != 200 && reply.status != 201) return;
+  if (known.accepted == 0) known.accepted = now;
+  const std::string status =
+      wire::Unpack(reply.body).value_or(Json::object()).value("status", std::string());
+  if (status == "cancelled" && !known.asked_cancel) Break("went_back " + id + ": not cancelled");
+  if ((known.done != 0 && known.done < asked && status != "done") ||
+      (known.cancelled != 0 && known.cancelled < asked && status != "cancelled")) {
+    Break("went_back " + id + " to " + status);
+  }
+  if (status == "done") {
+    for (int i = 0; i < known.spec.tasks; ++i) {
+      if (results.count({id, i}) == 0) Break("not_done " + TaskName(id, i));
+    }
+    if (known.done == 0) known.done = now;
+  }
+  if (status == "cancelled" && known.cancelled == 0) known.cancelled = now;
+}
+
+void World::CheckRules() {
+  std::map<std::string, Amount> used;
+  for (const auto& [name, w] : workers) {
+    // One that hangs may end its tasks only once it goes on: till then they do nothing.
+    if (w->dead || w->hung) continue;
+    for (const auto& [key, t] : w->tasks) {
+      if (t.state == TaskState::kExited) continue;
+      auto job = jobs_.find(key.first);
+      if (job == jobs_.end()) continue;
+      used[job->second.spec.team] += job->second.spec.each;
+      const Micros told = job->second.cancelled;
+      if (told != 0 && now > told + settings.cancel) {
+        Break("ran_cancelled " + TaskName(key.first, key.second) + " on " + name);
       }
     }
-  };
-  return *(workers[name] = std::move(w));
+  }
+  for (const Team& team : settings.teams) {
+    if (team.cpus_max > 0 && used[team.name].cpus > team.cpus_max) Break("quota " + team.name);
+  }
 }
 
 void World::AnswerCall(size_t node, uint64_t boot, uint64_t call, int status, std::string body) {
@@ -494,6 +586,7 @@
     if (mesh_down) break;
     size_t to = static_cast<size_t>(m.to.back() - '0');
     if (cut_from_mesh.count(node) != 0 || cut_from_mesh.count(to) != 0) continue;
+    if (cut_links.count({node, to}) != 0 || cut_links.count({to, node}) != 0) continue;
     // Through the codec, as on the network.
     std::string frame = mesh::Encode(m.message);
     std::string_view in = frame;
@@ -526,7 +619,16 @@
     return out;
   }
   Request request{n.next_request++, method, target, body};
-  n.waiting[request.id] = [out](const Reply& reply) {
+  if (target == "/api/jobs") {
+    std::string why;
+    auto spec = wire::DecodeSubmission(body, &why);
+    if (spec) jobs_[spec->id].spec = *spec;
+  } else if (auto path = wire::ParseJobPath(target); path && path->abort) {
+    auto known = jobs_.find(path->id);
+    if (known != jobs_.end()) known->second.asked_cancel = true;
+  }
+  n.waiting[request.id] = [this, out, method, target, body, asked = now](const Reply& reply) {
+    NoteAnswer(asked, target, method, body, reply);
     out->status = reply.status;
     out->body = wire::Unpack(reply.body).value_or(Json());
     out->retry_after = reply.retry_after_s;
@@ -619,6 +721,10 @@
 
 void World::Step() {
   now += kMilli;
+  if (now >= next_check_) {
+    next_check_ = now + kCheck;
+    CheckRules();
+  }
   if (!state_down) state.Expire(now);
   for (size_t i = 0; i < nodes_.size(); ++i) {
     Node& n = nodes_[i];
--- a/tests/world.h
+++ b/tests/world.h
@@ -116,7 +116,8 @@
   std::set<size_t> cut_from_workers;
   bool state_busy = false;  // 429 to all but renewals and watches
   std::set<size_t> cut_from_mesh;
-  bool mesh_down = false;  // siblings do not hear each other
+  bool mesh_down = false;                         // siblings do not hear each other
+  std::set<std::pair<size_t, size_t>> cut_links;  // nor do these two
   bool cloud_down = false;
   int capacity = 100;
   // Called for every call that a node sends; true: it is lost (no answer, but
@@ -138,8 +139,11 @@
   FakeState state;
   std::map<std::string, std::unique_ptr<FakeWorker>> workers;
   Micros now = 1000 * kSecond;
-  // Every broken rule that the fakes notice.
+  // Every broken rule that the fakes notice, from the workers' and the users' side.
   std::vector<std::string> broken;
+  // Starts of tasks whose job's user had been told of its cancellation: each is allowed
+  // until `cancel_s` after the telling, and unwelcome.
+  int starts_after_cancel = 0;
   std::map<std::string, Micros> run_time;               // of new jobs' tasks
   std::map<std::string, std::pair<Json, Json>> rented;  // request and answer, by name
   int rentals = 0, returns = 0;
@@ -176,6 +180,19 @@
   void AnswerCall(size_t node, uint64_t boot, uint64_t call, int status, std::string body);
   void WorkerReports(FakeWorker* w);
   void Step();
+  // --- the rules, checked without asking any core ---
+  struct Known {  // what users did and were told about a job
+    JobSpec spec;
+    bool asked_cancel = false;
+    Micros accepted = 0, done = 0, cancelled = 0;  // told first
+  };
+  void Break(const std::string& what);
+  void OnStart(const FakeWorker& on, const std::string& job, int task);
+  void NoteAnswer(Micros asked, const std::string& target, const std::string& method,
+                  const std::string& body, const Reply& reply);
+  void CheckRules();
+  std::map<std::string, Known> jobs_;
+  Micros next_check_ = 0;
 
   std::vector<Node> nodes_;
   std::vector<Event> events_;
