Fences need no commit; machines that reach no node are told of stops directly

Causes: (1) a direct start without an answer was fenced by the revision of the next commit. In an outage there is none, the machine's lease was renewed under the same token, and the held-up start ran long after its job had been cancelled. Tokens now leave room below each revision, and a fence is the next one there, at once. (2) A stop went out in a report's answer only, so a machine whose reports come nowhere kept a cancelled task until its lease ended, although direct commands reach it.

--- a/src/core/commit.cc
+++ b/src/core/commit.cc
@@ -44,10 +44,10 @@
   Part& p = parts_[static_cast<size_t>(part)];
   StateTxn txn;
   // Only the chunks of machines that changed are written.
-  auto add_roster = [this, &txn](int q, Roster* roster, bool force) {
+  auto add_roster = [this, &txn](int q, Roster* roster) {
     const Part& owner = parts_[static_cast<size_t>(q)];
     std::set<int> dirty = ChangedChunks(owner.roster, *roster);
-    if (force || owner.chunks.count(0) == 0) dirty.insert(0);
+    if (owner.chunks.count(0) == 0) dirty.insert(0);
     bool split = false;
     while (!dirty.empty()) {
       std::vector<std::pair<int, std::string>> values;
@@ -73,8 +73,8 @@
     }
     return !dirty.empty();
   };
-  bool changed = add_roster(part, &draft->roster, draft->fence);
-  for (auto& [q, roster] : draft->others) changed = add_roster(q, &roster, false) || changed;
+  bool changed = add_roster(part, &draft->roster);
+  for (auto& [q, roster] : draft->others) changed = add_roster(q, &roster) || changed;
   for (const std::string& id : draft->done) {
     const JobEntry* job = FindJob(id);
     if (job == nullptr || job->record.state != JobState::kOpen) continue;
@@ -117,7 +117,7 @@
     p.cleanup = false;
     return;
   }
-  bool urgent = draft->urgent || draft->fence;
+  const bool urgent = draft->urgent;
   if (!urgent && !draft->progress) {
     // Removals alone wait a little, so that one write takes many.
     if (p.cleanup_at == 0) {
@@ -185,11 +185,9 @@
   p.committing = true;
   auto shared = std::make_shared<Draft>(std::move(*draft));
   auto writes = std::make_shared<std::vector<StateWrite>>(txn.writes);
-  bool had_fence = p.fence;
-  p.fence = false;
   Send(Dest::kState, "", "POST", wire::CommitTarget(), std::move(body), kCommitTimeout,
-       [this, part, shared, writes, had_fence, claim = p.my_claim](Micros t, int status,
-                                                                   const std::string& body) {
+       [this, part, shared, writes, claim = p.my_claim](Micros t, int status,
+                                                        const std::string& body) {
          Part& q = parts_[static_cast<size_t>(part)];
          std::optional<wire::TxnReply> reply;
          if (status == 200 || status == 409) reply = wire::DecodeTxnReply(body);
@@ -199,12 +197,11 @@
          if (status == 200 && reply) {
            for (const StateWrite& w : *writes) ApplyPut(t, w.key, w.value, reply->revision);
            SettleRosters(t);
-           if (current) OnCommitted(t, part, *shared, reply->revision);
+           if (current) OnCommitted(t, part, *shared);
            return;
          }
          if (!current) return;
          q.dirty = true;
-         q.fence = q.fence || had_fence;
          if (shared->progress) q.progress_dirty = true;
          if (status == 409) {
            // The view is behind; the watch is about to tell. The claim itself
@@ -229,21 +226,11 @@
        });
 }
 
-void Core::OnCommitted(Micros now, int part, const Draft& draft, uint64_t revision) {
+void Core::OnCommitted(Micros now, int part, const Draft& draft) {
   Part& p = parts_[static_cast<size_t>(part)];
   p.cleanup = false;
   p.conflicts = 0;
   p.dirty = true;
-  if (draft.fence) {
-    for (const auto& [name, m] : p.roster.machines) {
-      MachineInfo& info = machines_[name];
-      if (info.need_token <= TokenOf(part, info)) continue;
-      ++counters_.fences;
-      info.fence = revision;
-      info.need_token = revision;
-      Push(now, part, name);
-    }
-  }
   std::set<std::string> touched;
   for (const auto& [machine, a] : draft.started) {
     auto it = attempts_.find(a);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -116,7 +116,6 @@
     bool committing = false;
     bool dirty = false;    // something to decide
     bool cleanup = false;  // only removals: may wait
-    bool fence = false;    // a commit is needed for its revision
     Micros last_commit = 0;
     Micros committed_at = 0;
     Micros not_before = 0;
@@ -250,7 +249,7 @@
     uint64_t session = 0;
     uint64_t seq = 0;
     uint64_t token_seen = 0;
-    uint64_t fence = 0;       // our token for it, where higher than the claim
+    uint64_t fence = 0;       // our token for it, where higher than the claim's
     uint64_t need_token = 0;  // absences prove nothing until the worker saw this
     Micros heard = 0;         // last report or answer
     Micros since = 0;         // when we began to care for it
@@ -307,7 +306,14 @@
   void MarkGone(int part, const Attempt& attempt, AttemptInfo* info);
   void Push(Micros now, int part, const std::string& machine);
   void Probe(Micros now, int part, const std::string& machine);
+  // Tokens leave room below each revision for fences, which so need no commit: no other
+  // claim or move has the same revision, and all later ones have higher tokens.
+  static constexpr int kFenceBits = 20;
+  static uint64_t TokenAt(uint64_t revision) { return revision << kFenceBits; }
   uint64_t TokenOf(int part, const MachineInfo& info) const;
+  // Absences on the machine prove nothing, and commands up to `token` may still run, until
+  // it has seen a higher token, which it is given from now on.
+  void Fence(int part, MachineInfo* info, uint64_t token);
   void StopAttempt(Micros now, const Attempt& attempt, AttemptInfo* info, Micros grace);
   void StopJob(Micros now, const std::string& job);
   bool JobOver(const std::string& job) const;  // cancelled or done
@@ -356,7 +362,7 @@
   bool DraftTake(Micros now, int part, Draft* draft, const JobSpec& spec);
   bool DraftShare(Micros now, int part, Draft* draft, const Team& team, const Share& want);
   void Commit(Micros now, int part, Draft* draft);
-  void OnCommitted(Micros now, int part, const Draft& draft, uint64_t revision);
+  void OnCommitted(Micros now, int part, const Draft& draft);
   void BeginDraft(Micros now, int part, Draft* draft) const;
   PlaceMachine EmptyMachine(Micros now, const RosterMachine& machine) const;
   bool Usable(Micros now, const RosterMachine& machine, const MachineInfo& info) const;
--- a/src/core/draft.h
+++ b/src/core/draft.h
@@ -59,7 +59,6 @@
   bool critical = false;     // starts work of the highest priority
   bool all_rosters = false;  // conditional on every roster (adoption)
   bool progress = false;
-  bool fence = false;
 
   bool MayChange(const std::string& machine) const {
     return !windowed || window.size() < most_chunks ||
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -284,7 +284,7 @@
     MachineInfo& info = machines_[name];
     // Commands of the owner before us may still run until the worker has seen
     // our token; until then its reports prove no absence.
-    info.need_token = std::max(info.need_token, revision);
+    info.need_token = std::max(info.need_token, TokenAt(revision));
     info.owned_claim = revision;
     // Its silence began when the owner before us missed it, or with that owner's end,
     // and not with the claim: a part that changed hands twice while many machines were
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -74,8 +74,8 @@
       auto chunk = p.chunks.find(ChunkOf(name, p.roster.chunks));
       uint64_t revision = p.my_claim;
       if (chunk != p.chunks.end()) revision = std::max(revision, chunk->second.version);
-      info.fence = std::max(info.fence, revision);
-      info.need_token = std::max(info.need_token, revision);
+      info.fence = std::max(info.fence, TokenAt(revision));
+      info.need_token = std::max(info.need_token, TokenAt(revision));
       info.since = now;
       info.idle_since = 0;
       info.give_up = info.drain = info.returning = false;
@@ -255,7 +255,7 @@
   for (int part = 0; part < s_.parts(); ++part) {
     Part& p = parts_[static_cast<size_t>(part)];
     if (!p.mine || p.committing || p.releasing || now < p.not_before || types_.empty()) continue;
-    bool due = p.dirty || p.fence || now - p.last_commit > kIdleRound;
+    bool due = p.dirty || now - p.last_commit > kIdleRound;
     if (due) Round(now, part);
   }
 }
@@ -285,7 +285,6 @@
   DraftFleet(now, part, &draft);
   DraftReturns(now, part, &draft);
   Consolidate(now, part, &draft);
-  draft.fence = p.fence;
   for (auto& [id, run] : runs_) {
     if (run.part != part || run.done < static_cast<int>(run.tasks.size())) continue;
     if (static_cast<int>(draft.done.size()) + 4 >= s_.txn_ops || draft.done.size() >= kMostDone) {
--- a/src/core/silence.cc
+++ b/src/core/silence.cc
@@ -92,8 +92,14 @@
       Touch(part);
     }
     bool busy = false;
+    bool stops = false;  // that its reports do not come to ask for
     for (const Attempt& a : m.attempts) {
       auto at = attempts_.find(a);
+      if (silent > 3 * s_.report / 2 && at != attempts_.end() && at->second.seen &&
+          at->second.stopping && !at->second.gone) {
+        if (at->second.state != TaskState::kSaving) at->second.stop_sent = false;
+        stops = true;
+      }
       if (at == attempts_.end() || !at->second.gone) busy = true;
       if (at == attempts_.end() || at->second.gone || at->second.stopping) continue;
       if (info.notice_end == 0) continue;
@@ -116,8 +122,8 @@
       info.idle_since = now;
     }
     // Whatever waits for a direct command that could not be sent before.
-    if (info.probe || info.token_seen < TokenOf(part, info) || info.need_token > info.token_seen) {
-      if (info.need_token > TokenOf(part, info)) p.fence = true;
+    if (stops || info.probe || info.token_seen < TokenOf(part, info) ||
+        info.need_token > info.token_seen) {
       Push(now, part, name);
     }
   }
--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -16,7 +16,17 @@
 }  // namespace
 
 uint64_t Core::TokenOf(int part, const MachineInfo& info) const {
-  return std::max(parts_[static_cast<size_t>(part)].my_claim, info.fence);
+  return std::max(TokenAt(parts_[static_cast<size_t>(part)].my_claim), info.fence);
+}
+
+// A fence used to be a commit's revision: in an outage there was none, the machine's lease
+// was renewed under the token of a command that was still under way, and the command was
+// carried out long after its job had been cancelled.
+void Core::Fence(int part, MachineInfo* info, uint64_t token) {
+  info->need_token = std::max(info->need_token, token + 1);
+  if (info->need_token <= TokenOf(part, *info)) return;
+  ++counters_.fences;
+  info->fence = info->need_token;
 }
 
 bool Core::JobOver(const std::string& job) const {
@@ -202,9 +212,11 @@
 
 bool Core::MayCare(Micros now, int part, const Report& report) const {
   const Part& p = parts_[static_cast<size_t>(part)];
-  if (StateFresh(now) || !MayRenew(now)) return false;
+  // A start of the owner may be under way under the same token, sent without knowing what
+  // we learn soon after: until its owner would have given up on it and fenced it.
+  if (StateFresh(now) || !MayRenew(now + kCommandTimeout)) return false;
   uint64_t claim = std::max(p.claim_version, p.rival_claim);
-  if (claim == 0 || report.token < claim) return false;
+  if (claim == 0 || report.token < TokenAt(claim)) return false;
   std::string owner = OwnerLabel(part);
   if (owner.empty() || owner == s_.label) return false;
   auto peer = peers_.find(owner);
@@ -369,8 +381,7 @@
   // higher token first. What is done only exits as done again.
   if (task.why != ExitReason::kDone && info->start_token != 0 &&
       mi.token_seen <= info->start_token) {
-    mi.need_token = std::max(mi.need_token, info->start_token + 1);
-    if (mi.need_token > TokenOf(part, mi)) parts_[static_cast<size_t>(part)].fence = true;
+    Fence(part, &mi, info->start_token);
   }
   switch (task.why) {
     case ExitReason::kDone:
@@ -530,9 +541,7 @@
            // It may run at any later time with this token: nothing on the
            // machine proves anything until the worker has seen a higher one.
            ++counters_.worker_unknown;
-           mi.need_token = std::max(mi.need_token, token + 1);
-           parts_[static_cast<size_t>(part)].fence = true;
-           Touch(part);
+           Fence(part, &mi, token);
          }
          if (!report) {
            // A machine that reaches no controller hears of stops in no other way.
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -376,8 +376,8 @@
 void World::CheckRules() {
   std::map<std::string, Amount> used;
   for (const auto& [name, w] : workers) {
-    // One that hangs may end its tasks only once it goes on: till then they do nothing.
-    if (w->dead || w->hung) continue;
+    // One that hangs past its lease ends its tasks before it does anything else.
+    if (w->dead || (w->hung && now - w->lease_from > kLease)) continue;
     for (const auto& [key, t] : w->tasks) {
       if (t.state == TaskState::kExited) continue;
       auto job = jobs_.find(key.first);
@@ -517,7 +517,7 @@
   }
   for (auto& [name, w] : workers) {
     if (w->addr != call.addr || w->dead) continue;
-    if (w->silent || w->hung || w->unhearing || cut_from_workers.count(node) != 0 ||
+    if (!w->Reaches(node) || w->hung || w->unhearing || cut_from_workers.count(node) != 0 ||
         w->lease_from > now) {
       *hang = true;
       return {};
@@ -556,7 +556,8 @@
     });
     return;
   }
-  At(now + kLatency, [this, node, boot, call] {
+  const Micros slow = call.dest == Dest::kState ? state_latency : 0;
+  At(now + kLatency + slow, [this, node, boot, call] {
     bool hang = false;
     auto [status, body] = Serve(node, call, &hang);
     if (!hang) {
@@ -571,6 +572,24 @@
   });
 }
 
+void World::ServeLater(size_t node, const Call& call, Micros after) {
+  At(now + after, [this, node, call] {
+    bool hang = false;
+    Serve(node, call, &hang);
+  });
+}
+
+void World::ReportLater(FakeWorker* w, size_t node, Micros after) {
+  Report report = w->MakeReport();
+  At(now + after,
+     [this, node, body = wire::EncodeReport(report)] { Ask(node, "POST", "/v1/report", body); });
+}
+
+void World::SetRunTime(const std::string& job, Micros time) {
+  run_time[job] = time;
+  for (auto& [name, w] : workers) w->run_time[job] = time;
+}
+
 void World::DeliverHeld() {
   auto late = std::move(held);
   held.clear();
@@ -669,7 +688,7 @@
   };
   std::string body = wire::EncodeReport(w->MakeReport());
   if (keep_reports) kept.emplace_back(w->name, body);
-  if (n.core == nullptr || cut_from_workers.count(node) != 0) {
+  if (n.core == nullptr || cut_from_workers.count(node) != 0 || !w->Reaches(node)) {
     // Refused or hung: on to the next one.
     At(now + (n.core == nullptr ? 0 : 4 * kSecond),
        [this, next, node] { next((node + 1) % nodes_.size(), kSecond); });
@@ -735,7 +754,7 @@
   for (auto& [name, w] : workers) {
     if (w->dead || w->hung || w->lease_from > now) continue;
     w->Advance(now);
-    if (!w->silent && !w->reporting && now >= w->next_report) WorkerReports(w.get());
+    if (!w->silent && !w->mute && !w->reporting && now >= w->next_report) WorkerReports(w.get());
   }
   for (size_t i = 0; i < watches_.size();) {
     OpenWatch& w = watches_[i];
--- a/tests/world.h
+++ b/tests/world.h
@@ -65,6 +65,12 @@
   bool spot = false, dead = false, fails_all = false, silent = false;
   bool hung = false;       // does nothing at all, and may go on later
   bool unhearing = false;  // its reports arrive, answers and commands do not reach it
+  bool mute = false;       // it reaches no controller, direct commands reach it
+  int only_node = -1;      // in a zone that is cut off: only this one and it reach each other
+  // Whether it can be spoken to by that node.
+  bool Reaches(size_t node) const {
+    return !silent && (only_node < 0 || only_node == static_cast<int>(node));
+  }
   uint64_t session = 1, seq = 0, token = 0;
   std::map<std::pair<std::string, int>, Task> tasks;
   std::map<std::string, Micros> run_time;  // by job; 0: until stopped
@@ -114,7 +120,8 @@
   std::set<size_t> cut_from_state;    // requests of these get no answer
   std::set<size_t> refused_by_state;  // these get 503
   std::set<size_t> cut_from_workers;
-  bool state_busy = false;  // 429 to all but renewals and watches
+  bool state_busy = false;   // 429 to all but renewals and watches
+  Micros state_latency = 0;  // beyond the usual one, both ways together
   std::set<size_t> cut_from_mesh;
   bool mesh_down = false;                         // siblings do not hear each other
   std::set<std::pair<size_t, size_t>> cut_links;  // nor do these two
@@ -129,12 +136,25 @@
   // Requests that were lost, to be delivered late.
   std::vector<std::pair<size_t, Call>> held;
   void DeliverHeld();
+  // Carries a call out after that time, whatever became of its sender.
+  void ServeLater(size_t node, const Call& call, Micros after);
+  // A report that the worker makes now is held up and arrives at the node then.
+  void ReportLater(FakeWorker* w, size_t node, Micros after);
+  // Of a job's tasks on all machines, also those that come.
+  void SetRunTime(const std::string& job, Micros time);
   // Copies of every request that changes something, for stories that repeat them.
   bool keep_calls = false;
   std::vector<std::pair<size_t, Call>> carried;
   // Whatever comes of it, a repeat must change nothing that a rule forbids.
   void RepeatCarried();
 
+  struct Known {  // what users did and were told about a job
+    JobSpec spec;
+    bool asked_cancel = false;
+    Micros accepted = 0, done = 0, cancelled = 0;  // told first
+  };
+  const std::map<std::string, Known>& jobs() const { return jobs_; }
+
   Settings settings;
   FakeState state;
   std::map<std::string, std::unique_ptr<FakeWorker>> workers;
@@ -181,11 +201,6 @@
   void WorkerReports(FakeWorker* w);
   void Step();
   // --- the rules, checked without asking any core ---
-  struct Known {  // what users did and were told about a job
-    JobSpec spec;
-    bool asked_cancel = false;
-    Micros accepted = 0, done = 0, cancelled = 0;  // told first
-  };
   void Break(const std::string& what);
   void OnStart(const FakeWorker& on, const std::string& job, int task);
   void NoteAnswer(Micros asked, const std::string& target, const std::string& method,
