A cancelled task that still waits for its image is stopped at once

It began before its machine's next report otherwise, up to a report period after its user had been told.

--- a/src/core/workers.cc
+++ b/src/core/workers.cc
@@ -427,7 +427,11 @@
 void Core::StopJob(Micros now, const std::string& job) {
   for (auto it = attempts_.lower_bound({job, 0, 0}); it != attempts_.end() && it->first.job == job;
        ++it) {
-    if (!it->second.gone) StopAttempt(now, it->first, &it->second, 0);
+    AttemptInfo& at = it->second;
+    if (at.gone) continue;
+    StopAttempt(now, it->first, &at, 0);
+    // What still waits for its image would begin before its machine reports again.
+    if (at.state == TaskState::kFetching && at.session != 0) Push(now, at.part, at.machine);
   }
 }
 
@@ -505,7 +509,7 @@
     if (it == attempts_.end() || it->second.gone) continue;
     AttemptInfo& at = it->second;
     bool over = JobOver(a.job);
-    if (at.seen && (at.stopping || over) && !at.stop_sent) {
+    if ((at.seen || at.session != 0) && (at.stopping || over) && !at.stop_sent) {
       if (over) StopAttempt(now, a, &at, 0);
       orders.push_back({Command::Op::kStop, a.job, a.task, a.number, at.grace});
       at.stop_sent = true;
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -489,6 +489,23 @@
   EXPECT_KEPT(w);
 }
 
+TEST(Meetings, ACancelledTaskThatWaitsForItsImageDoesNotBegin) {
+  for (Micros after : {0 * kMilli, 100 * kMilli, 700 * kMilli, 1300 * kMilli}) {
+    World w;
+    w.capacity = 0;
+    for (int i = 0; i < 4; ++i) w.AddWorker("small").fetch_time = 1600 * kMilli;
+    w.Run(kReady);
+    Accept(w, 0, World::Array("job-7", 8));
+    ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-7") == 8; }, 10 * kSecond));
+    w.Run(after);
+    w.Ask(1, "POST", "/api/jobs/job-7/abort");
+    w.Run(5 * kSecond);
+    EXPECT_EQ(w.OnMachines("job-7"), 0);
+    EXPECT_EQ(w.starts_after_cancel, 0) << after;
+    EXPECT_KEPT(w);
+  }
+}
+
 TEST(Meetings, AReportHeldBackUntilANewOwnerActedProvesNothing) {
   World w;
   w.capacity = 0;
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -150,9 +150,13 @@
         tasks[{job, task}] = t;
         continue;
       }
-      if (on_start) on_start(job, task);
-      Micros run = run_time.count(job) != 0 ? run_time[job] : 0;
-      if (run > 0) t.ends = now + run;
+      if (fetch_time > 0 && !fails_all) {
+        t.state = TaskState::kFetching;
+        t.ends = now + fetch_time;
+        tasks[{job, task}] = t;
+        continue;
+      }
+      Begin(now, job, task, &t);
       if (fails_all) {
         t.state = TaskState::kExited;
         t.why = ExitReason::kError;
@@ -170,8 +174,18 @@
   }
 }
 
+void FakeWorker::Begin(Micros now, const std::string& job, int task, Task* t) {
+  if (on_start) on_start(job, task);
+  const Micros run = run_time.count(job) != 0 ? run_time[job] : 0;
+  t->state = TaskState::kRunning;
+  t->ends = run > 0 ? now + run : 0;
+}
+
 void FakeWorker::Advance(Micros now) {
   for (auto& [key, t] : tasks) {
+    if (t.state == TaskState::kFetching && now >= t.ends && now - lease_from <= kLease) {
+      Begin(now, key.first, key.second, &t);
+    }
     if (t.state == TaskState::kRunning && t.ends != 0 && now >= t.ends) {
       t.state = TaskState::kExited;
       t.why = ExitReason::kDone;
--- a/tests/world.h
+++ b/tests/world.h
@@ -59,6 +59,7 @@
   Report MakeReport();
   void Apply(Micros now, const Json& orders);
   void Advance(Micros now);
+  void Begin(Micros now, const std::string& job, int task, Task* t);
   bool Has(const std::string& job) const;
 
   std::string name, addr, type, zone;
@@ -76,6 +77,7 @@
   std::map<std::string, Micros> run_time;  // by job; 0: until stopped
   size_t node = 0;
   Micros next_report = 0, lease_from = 0;
+  Micros fetch_time = 0;  // until a task that was started has its image
   bool reporting = false;
   int starts = 0;
   std::function<void(const std::string& job, int task)> on_start;
