A pong answers for its sender once that has read the store; boots need not be compared

With every cancel of the view told, a process that has read the state service knows all that the one before it told. A node cut off from the state service used to ignore a restarted sibling until its own view moved, and so stopped renewing sooner than it had to. One condition instead of two.

--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -180,13 +180,12 @@
   } else if (const auto* pong = std::get_if<mesh::Pong>(&message)) {
     Peer& p = peer->second;
     auto sent = p.pings.find(pong->seq);
-    // The first pong of a new process says nothing of what the last one accepted.
-    bool same = p.boot == pong->boot;
     TakeGossip(now, from, *pong);
     if (sent != p.pings.end()) {
-      // Nor one that had to leave out cancels that our view does not hold either.
-      if (same && (p.reset_at == 0 || view_at_ > p.reset_at) &&
-          pong->cancels_from <= sent->second.seen) {
+      // It answers for all that its sender, also the process before, can have told until
+      // then: nothing is told that is not stored, and it has read the store and left nothing
+      // out that our view lacks.
+      if (pong->seen != 0 && pong->cancels_from <= sent->second.seen) {
         p.known = std::max(p.known, sent->second.at);
       }
       p.pings.erase(p.pings.begin(), std::next(sent));
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -454,11 +454,9 @@
   Micros lease_retry_ = 0;
   struct Peer {
     std::string label;
-    uint64_t boot = 0;
     Micros heard = 0;      // last message
     Micros known = 0;      // all cancels that it knew then are known to us
     uint64_t seen = 0;     // its view holds all up to this revision
-    Micros reset_at = 0;   // it restarted then, and may have forgotten some
     Micros state_age = 0;  // at `heard`
     struct Sent {
       Micros at = 0;
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -18,8 +18,6 @@
 
 mesh::Gossip Core::MakeGossip(Micros now, bool warm, uint64_t seen) const {
   mesh::Gossip g;
-  g.boot = boot_;
-  g.uptime_us = static_cast<uint64_t>(now - started_);
   g.state_age_us =
       static_cast<uint64_t>(state_ok_ == 0 ? now - started_ + 3600 * kSecond : now - state_ok_);
   for (size_t p = 0; p < parts_.size(); ++p) {
@@ -86,12 +84,6 @@
 
 void Core::TakeGossip(Micros now, const std::string& from, const mesh::Gossip& gossip) {
   Peer& peer = peers_[from];
-  if (peer.boot != gossip.boot) {
-    // A late message of the process before this one would flip it back and
-    // forth; that only makes us more careful.
-    peer.boot = gossip.boot;
-    peer.reset_at = now;
-  }
   peer.heard = now;
   peer.seen = gossip.seen;
   peer.state_age =
--- a/src/mesh/codec.cc
+++ b/src/mesh/codec.cc
@@ -25,8 +25,6 @@
 
 void PutGossip(std::string* out, const Gossip& g) {
   PutVarint(out, g.seq);
-  PutVarint(out, g.boot);
-  PutVarint(out, g.uptime_us);
   PutVarint(out, g.state_age_us);
   PutVarint(out, g.claims.size());
   for (const PartClaim& c : g.claims) {
@@ -55,8 +53,7 @@
 
 bool GetGossip(std::string_view* in, Gossip* g) {
   uint64_t n = 0;
-  if (!GetVarint(in, &g->seq) || !GetVarint(in, &g->boot) || !GetVarint(in, &g->uptime_us) ||
-      !GetVarint(in, &g->state_age_us) || !GetLength(in, &n)) {
+  if (!GetVarint(in, &g->seq) || !GetVarint(in, &g->state_age_us) || !GetLength(in, &n)) {
     return false;
   }
   g->claims.resize(n);
--- a/src/mesh/codec.h
+++ b/src/mesh/codec.h
@@ -41,9 +41,7 @@
 
 // Sent a few times a second to every sibling; a Pong answers each.
 struct Gossip {
-  uint64_t seq = 0;   // of the ping, echoed by the pong
-  uint64_t boot = 0;  // drawn anew at every start of the process
-  uint64_t uptime_us = 0;
+  uint64_t seq = 0;           // of the ping, echoed by the pong
   uint64_t state_age_us = 0;  // since the state service last answered us
   std::vector<PartClaim> claims;
   // Cancelled jobs that the sender knows of, whoever committed them, but for those with a
