--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -73,10 +73,12 @@
   Micros down_after = 0;      // of the telling
   bool mesh_cut = false;      // between the owner and whoever confirms
   bool teller_ends = false;   // right after it told, and is back at once
+  bool third_away = false;    // nobody else is there to tell the owner
 };
 
 void Gap(const GapCase& g) {
   Running w;
+  if (g.third_away) w.Kill(w.third);
   if (g.refused_before >= 0) {
     w.refused_by_state = {w.owner};
     w.Run(g.refused_before);
@@ -140,6 +142,17 @@
   }
 }
 
+TEST(Meetings, TheGapWithNobodyLeftWhoKnowsOfTheCancellation) {
+  // The node that told it is back before the outage has an end, and knows nothing.
+  for (Told told : {Told::kByWhoCommitted, Told::kThroughOwner}) {
+    for (Micros before : {2 * kSecond, 100 * kMilli, -kMilli}) {
+      SCOPED_TRACE(testing::Message()
+                   << "told " << static_cast<int>(told) << " refused " << before);
+      Gap({told, before, 0, false, true, true});
+    }
+  }
+}
+
 TEST(Meetings, TheGapWithTheOutageAtAnyMomentAfterTheTelling) {
   for (Micros after : {0 * kMilli, 20 * kMilli, 300 * kMilli, 2 * kSecond, 5 * kSecond}) {
     for (Told told : {Told::kByWhoCommitted, Told::kByAnother}) {
