--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -234,16 +234,17 @@
     Poll(now, std::move(query));
     return;
   }
+  // What can never run is told so at once, also in trouble: it needs the types alone.
+  if (!types_.empty()) why = NeverRuns(*spec);
+  if (!why.empty()) {
+    Answer(request.id, 422, wire::EncodeError(why));
+    return;
+  }
   if (!synced_ || types_.empty() || !StateFresh(now)) {
     ++counters_.refused;
     Answer(request.id, 503, wire::EncodeError("not ready"), kRetryAfter);
     return;
   }
-  why = NeverRuns(*spec);
-  if (!why.empty()) {
-    Answer(request.id, 422, wire::EncodeError(why));
-    return;
-  }
   // Acceptance comes before all other writes: it only stops when the node is
   // deep in debt, and otherwise lets the service itself say that it is too much.
   if (write_budget_.have() < -s_.write_rps / 2) {
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -572,6 +572,43 @@
   }
 }
 
+TEST(Meetings, WhatCanNeverRunOrLacksAFieldIsRefusedForGoodInAnyTrouble) {
+  Running w;
+  JobSpec huge = World::Array("job-91", 1), alien = World::Service("job-92", 33);
+  huge.each.cpus = 17000;
+  alien.team = "red";  // 66 cpus of 64 at most
+  Json lacking = wire::EncodeSpec(World::Array("job-93", 1));
+  lacking.erase("pieces");
+  auto check = [&] {
+    for (int again = 0; again < 2; ++again) {
+      for (size_t n = 0; n < 3; ++n) {
+        EXPECT_EQ(w.Submit(n, huge)->status, 422) << n;
+        EXPECT_EQ(w.Submit(n, alien)->status, 422) << n;
+        EXPECT_EQ(w.Ask(n, "POST", "/api/jobs", wire::Pack(lacking))->status, 400) << n;
+      }
+      w.Run(kSecond);
+    }
+  };
+  check();
+  w.refused_by_state = {w.owner};
+  w.Run(3 * kSecond);
+  check();
+  w.state_down = true;
+  w.Run(3 * kSecond);
+  check();
+  w.mesh_down = true;
+  w.Run(3 * kSecond);
+  check();
+  w.state_down = w.mesh_down = false;
+  w.refused_by_state.clear();
+  w.state.Refresh(w.now);
+  w.Run(5 * kSecond);
+  for (const char* id : {"job-91", "job-92", "job-93"}) {
+    EXPECT_EQ(w.AskUntil(w.third, "GET", std::string("/api/jobs/") + id).status, 404);
+  }
+  EXPECT_KEPT(w);
+}
+
 TEST(Meetings, ASlowStateServiceThenRefusesTheOwnerAndThenEverybody) {
   for (Micros slow : {300 * kMilli, 1200 * kMilli, 1600 * kMilli}) {
     Running w;
