--- a/src/core/acceptance.cc
+++ b/src/core/acceptance.cc
@@ -14,6 +14,7 @@
 constexpr Micros kCommitTimeout = 1500 * kMilli;
 constexpr Micros kQueryPatience = 1500 * kMilli;
 constexpr size_t kMostQueries = 2000;
+constexpr double kQueryReserve = 8;  // requests that a question leaves to the rest
 constexpr Micros kWaitsAge = 40 * kMilli;
 constexpr int kRetryAfter = 1;
 constexpr uint64_t kRetrySpread = 4;
@@ -314,7 +315,9 @@
     queries_.pop_front();
   }
   if (query_busy_ || queries_.empty() || now < query_not_before_) return;
-  if (!state_budget_.Take(now, 1)) return;
+  // Questions have what all other requests leave of the limit: in a storm of polls the
+  // state service once refused commits, watches and renewals of leases.
+  if (!state_budget_.Has(now, kQueryReserve)) return;
   StateTxn txn;
   std::map<std::string, uint64_t> versions;
   std::vector<Query> batch;
@@ -359,7 +362,7 @@
 }
 
 void Core::FetchJob(Micros now, const std::string& id) {
-  if (!state_budget_.Take(now, 1)) return;
+  if (!state_budget_.Has(now, 1)) return;
   // One key is a list that begins just before it; ids differ in their digits,
   // so the prefix may hold longer ones too.
   Send(Dest::kState, "", "GET", wire::ListTarget(JobKey(id), "", 1), "", kCommitTimeout,
--- a/src/core/budget.h
+++ b/src/core/budget.h
@@ -20,6 +20,11 @@
     have_ -= n;
     return true;
   }
+  // Whether there is so much; somebody else takes it.
+  bool Has(Micros now, double n) {
+    Refill(now);
+    return have_ >= std::min(n, burst_);
+  }
   // Takes what must go out anyway; the debt is worked off.
   void Force(Micros now, double n = 1) {
     Refill(now);
@@ -39,6 +44,7 @@
 
  private:
   void Refill(Micros now) {
+    if (now <= last_) return;
     if (last_ != 0) have_ = std::min(burst_, have_ + rate_ * ToSeconds(now - last_));
     last_ = now;
   }
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -44,7 +44,10 @@
       {id, dest, std::move(addr), std::move(method), std::move(target), std::move(body), timeout});
   switch (dest) {
     case Dest::kState:
-    case Dest::kWatch: ++counters_.state_calls; break;
+    case Dest::kWatch:
+      ++counters_.state_calls;
+      state_budget_.Force(now_, 1);
+      break;
     case Dest::kCloud: ++counters_.cloud_calls; break;
     case Dest::kWorker: ++counters_.worker_calls; break;
   }
@@ -162,6 +165,7 @@
   if (it != pending_.end()) {
     Handler handler = std::move(it->second);
     pending_.erase(it);
+    if (status == 429) ++counters_.busy_answers;
     handler(now, status, body);
   }
   After(now);
@@ -302,6 +306,7 @@
   put("commit_unknown_total", c.commit_unknown);
   put("state_puts_total", c.puts);
   put("state_calls_total", c.state_calls);
+  put("busy_answers_total", c.busy_answers);
   put("cloud_calls_total", c.cloud_calls);
   put("worker_calls_total", c.worker_calls);
   put("worker_unknown_total", c.worker_unknown);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -28,6 +28,7 @@
   uint64_t reports = 0, redirects = 0, relays = 0, forwards = 0, cared = 0;
   uint64_t rounds = 0, oversized = 0;
   uint64_t commits = 0, commit_conflicts = 0, commit_unknown = 0, puts = 0;
+  uint64_t busy_answers = 0;  // 429s
   uint64_t state_calls = 0, cloud_calls = 0, worker_calls = 0, worker_unknown = 0;
   uint64_t starts = 0, stops = 0, gone = 0, takes = 0, share_moves = 0, job_moves = 0,
            consolidated = 0;
--- a/src/core/view.cc
+++ b/src/core/view.cc
@@ -9,6 +9,8 @@
 namespace {
 constexpr Micros kWatchHold = 2 * kSecond;
 constexpr Micros kListTimeout = 2 * kSecond;
+constexpr double kWatchReserve = 20;  // requests
+constexpr Micros kWatchPause = 40 * kMilli;
 constexpr int kListLimit = 500;
 constexpr size_t kMostCancelled = 4000;  // kept to be told to siblings
 const std::string kTypesKey = std::string(kRoot) + "types";
@@ -99,7 +101,13 @@
          SettleRosters(t);
          watch_revision_ = std::max(watch_revision_, reply->revision);
          view_at_ = std::max(view_at_, sent);
-         StartWatch(t);
+         // Each change ends a watch, and each node has one: when requests are short, a
+         // watch waits a little and its answer takes more changes.
+         if (state_budget_.Has(t, kWatchReserve)) {
+           StartWatch(t);
+         } else {
+           watch_retry_ = t + kWatchPause;
+         }
        });
 }
 
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -374,6 +374,39 @@
   }
 }
 
+// Each node asks its share of the limit at most, whatever users ask: commits, watches and
+// leases go on. The fake state service counts.
+TEST(Meetings, AStormOfQuestionsLeavesRoomForTheRest) {
+  World w;
+  w.Run(kReady);
+  Accept(w, 0, World::Service("job-5", 4));
+  for (int i = 0; i < 30; ++i) Accept(w, 1, World::Array("job-" + std::to_string(100 + i), 2));
+  w.Run(5 * kSecond);
+  uint64_t before = 0, calls = 0;
+  for (size_t n = 0; n < 3; ++n) before += w.core(n).counters().state_calls;
+  int answered = 0, asked = 0;
+  std::vector<std::shared_ptr<World::Answered>> answers;
+  for (int i = 0; i < 2000; ++i) {
+    for (size_t n = 0; n < 3; ++n) {
+      answers.push_back(w.Ask(n, "GET", "/api/jobs/job-" + std::to_string(100 + i % 30)));
+    }
+    // Each change ends every node's watch.
+    if (i % 6 == 0) w.Submit(2, World::Array("job-" + std::to_string(1000 + i), 1));
+    w.Run(5 * kMilli);
+  }
+  w.Run(2 * kSecond);
+  for (const auto& a : answers) {
+    ++asked;
+    answered += a->status == 200 ? 1 : 0;
+    EXPECT_TRUE(a->status == 200 || (a->status == 503 && a->retry_after > 0)) << a->status;
+  }
+  for (size_t n = 0; n < 3; ++n) calls += w.core(n).counters().state_calls;
+  EXPECT_GT(answered * 10, asked * 9);
+  // 12 s and more at 200 a second, and a burst.
+  EXPECT_LT(calls - before, 200u * 14);
+  EXPECT_KEPT(w);
+}
+
 // One of "done" and "cancelled" is committed, and it alone is ever told.
 TEST(Meetings, ACancellationAQuestionAndARepeatMeetTheEndOfTheLastTask) {
   World w;
--- a/tests/units_test.cc
+++ b/tests/units_test.cc
@@ -164,6 +164,20 @@
   EXPECT_TRUE(b.Take(3 * kSecond, 1));
 }
 
+TEST(Budget, QuestionsLeaveTheRestItsShare) {
+  Budget b(10, 5);
+  EXPECT_TRUE(b.Has(kSecond, 5));
+  b.Force(kSecond, 4);
+  EXPECT_FALSE(b.Has(kSecond, 2));
+  EXPECT_TRUE(b.Has(kSecond, 1));
+  // A time from before the last one gives nothing and takes nothing.
+  b.Force(kSecond / 2, 1);
+  EXPECT_FALSE(b.Has(kSecond, 1));
+  EXPECT_TRUE(b.Has(kSecond + 100 * kMilli, 1));
+  // More than it ever holds is waited for no longer than for all of it.
+  EXPECT_TRUE(b.Has(2 * kSecond, 50));
+}
+
 TEST(Budget, WhoWaitsForMuchGetsItsTurnBesideWhoTakesLittle) {
   // One node with two parts: one commits 2 writes at a time, the other 4.
   Budget budget(15, 25);
