--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -74,6 +74,7 @@
   bool mesh_cut = false;      // between the owner and whoever confirms
   bool teller_ends = false;   // right after it told, and is back at once
   bool third_blind = false;   // the state service refuses the third node as well
+  Micros held = 0;            // what siblings say is held for so long, from the telling on
 };
 
 void Gap(const GapCase& g) {
@@ -111,9 +112,12 @@
     w.Run(100 * kMilli);
     w.Start(ends);
   }
+  w.hold_mesh = g.held > 0;
   w.Run(g.down_after);
   w.state_down = true;
-  w.Run(w.settings.cancel + 3 * kSecond);
+  w.Run(g.held);
+  w.ReleaseMesh();
+  w.Run(w.settings.cancel + 3 * kSecond - g.held);
   EXPECT_EQ(w.OnMachines("job-5"), 0);
   w.Run(12 * kSecond - (w.now - told) % kSecond);
   w.state_down = false;
@@ -153,6 +157,18 @@
   }
 }
 
+TEST(Meetings, TheGapWithGossipHeldUp) {
+  for (Told told : {Told::kByWhoCommitted, Told::kByAnother, Told::kLate, Told::kThroughOwner}) {
+    for (Micros held : {3 * kSecond, 12 * kSecond, 25 * kSecond}) {
+      for (bool ends : {false, true}) {
+        SCOPED_TRACE(testing::Message()
+                     << "told " << static_cast<int>(told) << " held " << held << " ends " << ends);
+        Gap({told, 200 * kMilli, 0, false, ends, false, held});
+      }
+    }
+  }
+}
+
 TEST(Meetings, TheGapWithTheOutageAtAnyMomentAfterTheTelling) {
   for (Micros after : {0 * kMilli, 20 * kMilli, 300 * kMilli, 2 * kSecond, 5 * kSecond}) {
     for (Told told : {Told::kByWhoCommitted, Told::kByAnother}) {
@@ -877,6 +893,11 @@
         during("workers cut from" + at, time, [this, n] { w_.cut_from_workers.erase(n); });
         break;
       case 5:
+        if (Chance(0.5)) {
+          w_.hold_mesh = true;
+          during("mesh held", time, [this] { w_.ReleaseMesh(); });
+          break;
+        }
         w_.mesh_down = true;
         during("mesh down", time, [this] { w_.mesh_down = false; });
         break;
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -626,13 +626,18 @@
     uint64_t n = 0;
     mesh::GetVarint(&in, &n);
     std::string body(in);
-    At(now + kLatency, [this, node, to, body] {
+    auto arrive = [this, node, to, body] {
       Deliver(to, [this, node, to, body] {
         if (nodes_[to].core == nullptr) return;
         std::optional<mesh::Message> message = mesh::Decode(body);
         Dispatch(to, nodes_[to].core->HandlePeer(now, "node-" + std::to_string(node), *message));
       });
-    });
+    };
+    if (hold_mesh) {
+      held_mesh_.push_back(std::move(arrive));
+    } else {
+      At(now + kLatency, std::move(arrive));
+    }
   }
   for (const Reply& reply : out.replies) {
     auto it = nodes_[node].waiting.find(reply.id);
@@ -643,6 +648,13 @@
   }
 }
 
+void World::ReleaseMesh() {
+  hold_mesh = false;
+  auto held = std::move(held_mesh_);
+  held_mesh_.clear();
+  for (auto& arrive : held) arrive();
+}
+
 std::shared_ptr<World::Answered> World::Ask(size_t node, const std::string& method,
                                             const std::string& target, const std::string& body) {
   auto out = std::make_shared<Answered>();
--- a/tests/world.h
+++ b/tests/world.h
@@ -127,6 +127,8 @@
   std::set<size_t> cut_from_mesh;
   bool mesh_down = false;                         // siblings do not hear each other
   std::set<std::pair<size_t, size_t>> cut_links;  // nor do these two
+  bool hold_mesh = false;  // what siblings say arrives, in order, at ReleaseMesh
+  void ReleaseMesh();
   bool cloud_down = false;
   int capacity = 100;
   // Called for every call that a node sends; true: it is lost (no answer, but
@@ -213,6 +215,7 @@
 
   std::vector<Node> nodes_;
   std::vector<Event> events_;
+  std::vector<std::function<void()>> held_mesh_;
   struct OpenWatch {
     size_t node;
     uint64_t boot;
