A job with a mistake leaves no machine blamed, neither alone on it nor once cancelled

Until now the cancellation of a job that had failed everywhere made every machine with two of its failures count as sick, as did a job that was tried on one machine of a part only. Unit test; the two stories (late or never coming machines, a mistaken job) pass before as well. The fake cloud gets its room back for what is returned.

--- a/src/core/commit.cc
+++ b/src/core/commit.cc
@@ -237,6 +237,7 @@
     if (it == attempts_.end() || it->second.gone) continue;
     it->second.fresh = true;
     it->second.placed_at = now;
+    health_.Tried(machine, a.job);
     touched.insert(machine);
   }
   counters_.takes += draft.others.empty() ? 0 : 1;
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -24,21 +24,30 @@
     Job& j = jobs_[job];
     ++j.failures;
     j.machines.insert(machine);
+    Tried(machine, job);
     j.last = now;
   }
+  // A task of the job was started there.
+  void Tried(const std::string& machine, const std::string& job) {
+    std::set<std::string>& tried = jobs_[job].tried;
+    if (tried.size() < 2) tried.insert(machine);
+  }
   // A task ran well: the machine works, and so does the job.
   void Succeeded(const std::string& machine, const std::string& job) {
     machines_.erase(machine);
-    jobs_.erase(job);
+    auto it = jobs_.find(job);
+    if (it != jobs_.end()) it->second = Job{0, {}, std::move(it->second.tried), 0};
   }
   // Several failures, with nothing that ran well between them: of different
-  // jobs, or of one job that fails on this machine alone.
+  // jobs, or of one job that fails on this machine alone. A job that was tried
+  // nowhere else says nothing of the machine: the only one of a part was once
+  // given back for a job that was submitted with a mistake.
   bool Sick(const std::string& machine) const {
     auto it = machines_.find(machine);
     if (it == machines_.end() || it->second.failures < machine_failures_) return false;
     for (const std::string& job : it->second.jobs) {
       auto j = jobs_.find(job);
-      if (j != jobs_.end() && j->second.machines.size() >= 2) continue;
+      if (j != jobs_.end() && j->second.SaysNothing()) continue;
       return true;  // fails here and nowhere else
     }
     return it->second.jobs.size() >= 2 && !AllJobsFailEverywhere(it->second.jobs);
@@ -56,7 +65,21 @@
     return it != jobs_.end() && it->second.machines.count(machine) != 0;
   }
   void ForgetMachine(const std::string& machine) { machines_.erase(machine); }
-  void ForgetJob(const std::string& job) { jobs_.erase(job); }
+  // It is over. The machines on which a job with a mistake failed used to count as sick
+  // once it was cancelled, as nothing told any more that it had failed everywhere.
+  void ForgetJob(const std::string& job) {
+    auto j = jobs_.find(job);
+    if (j == jobs_.end()) return;
+    if (j->second.SaysNothing()) {
+      for (const std::string& machine : j->second.machines) {
+        auto m = machines_.find(machine);
+        if (m == machines_.end()) continue;
+        m->second.jobs.erase(job);
+        if (m->second.jobs.empty()) machines_.erase(m);
+      }
+    }
+    jobs_.erase(j);
+  }
 
  private:
   struct Machine {
@@ -67,7 +90,10 @@
   struct Job {
     int failures = 0;
     std::set<std::string> machines;
+    std::set<std::string> tried;  // two of those that it was started on
     Micros last = 0;
+    // Of the machines on which it failed: it does so everywhere, or was tried on one only.
+    bool SaysNothing() const { return machines.size() >= 2 || tried.size() < 2; }
   };
   bool AllJobsFailEverywhere(const std::set<std::string>& jobs) const {
     return std::all_of(jobs.begin(), jobs.end(), [this](const std::string& job) {
--- a/tests/stories_test.cc
+++ b/tests/stories_test.cc
@@ -847,6 +847,55 @@
   EXPECT_KEPT(w);
 }
 
+TEST(Stories, MachinesThatComeLateOrNeverAreReplacedOnceAndReturned) {
+  World w;
+  int rented = 0;
+  // Of the first six every other one never comes up; the rest take three times as long.
+  w.boot_time = [&] { return ++rented <= 6 && rented % 2 == 0 ? 10000 * kSecond : 15 * kSecond; };
+  w.run_time["job-1"] = 5 * kSecond;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 24)));
+  w.AskUntil(1, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 4)));
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 4; }, 60 * kSecond));
+  EXPECT_TRUE(w.Until([&] { return Status(w, 2, "job-1") == "done"; }, 120 * kSecond));
+  w.Run(60 * kSecond);
+  int never = 0;
+  for (auto& [name, x] : w.workers) never += !x->dead && x->lease_from > w.now ? 1 : 0;
+  EXPECT_EQ(never, 0);  // nothing is paid for that does not come
+  EXPECT_LE(w.rentals, 30);
+  EXPECT_EQ(w.OnMachines("job-5"), 4);
+  EXPECT_KEPT(w);
+}
+
+TEST(Stories, AJobWithAMistakeBlamesNoMachineAndStarvesNobody) {
+  World w;
+  w.mistaken = {"job-66"};
+  w.run_time["job-1"] = 4 * kSecond;
+  w.capacity = 6;
+  w.Run(kReady);
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-66", 40)));
+  w.Run(10 * kSecond);
+  w.AskUntil(1, "POST", "/api/jobs", wire::EncodeSubmission(World::Array("job-1", 32)));
+  w.AskUntil(2, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 4)));
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 4; }, 25 * kSecond));
+  EXPECT_TRUE(w.Until([&] { return Status(w, 2, "job-1") == "done"; }, 60 * kSecond));
+  int starts = 0;
+  for (auto& [name, x] : w.workers) starts += x->starts;
+  w.Run(60 * kSecond);
+  int after = 0;
+  for (auto& [name, x] : w.workers) {
+    after += x->starts;
+    EXPECT_FALSE(x->dead && x->Has("job-5")) << name;
+  }
+  EXPECT_LE(after - starts, 60);  // it backs off
+  EXPECT_EQ(w.OnMachines("job-5"), 4);
+  EXPECT_EQ(w.AskUntil(1, "POST", "/api/jobs/job-66/abort").body.value("status", ""), "cancelled");
+  w.Run(5 * kSecond);
+  EXPECT_EQ(w.OnMachines("job-66"), 0);
+  EXPECT_EQ(w.starts_after_cancel, 0);
+  EXPECT_KEPT(w);
+}
+
 TEST(Stories, AFreeMachineThatItsOwnerMissesIsNotTaken) {
   World w;
   w.capacity = 0;
--- a/tests/units_test.cc
+++ b/tests/units_test.cc
@@ -60,6 +60,24 @@
   for (int i = 0; i < 3; ++i) EXPECT_FALSE(job.Sick("m" + std::to_string(i)));
   EXPECT_GT(job.NextStart("a"), 5 * kSecond);
   EXPECT_EQ(job.NextStart("b"), 0);
+  // Also once it is over.
+  job.ForgetJob("a");
+  for (int i = 0; i < 3; ++i) EXPECT_FALSE(job.Sick("m" + std::to_string(i)));
+  // One that was done elsewhere leaves its word behind.
+  Health word(2, 3);
+  for (int i = 0; i < 2; ++i) word.Failed(kSecond, "m", "a");
+  word.Tried("n", "a");
+  word.Succeeded("n", "a");
+  word.ForgetJob("a");
+  EXPECT_TRUE(word.Sick("m"));
+  // Alone on a machine a job says nothing of it, until it was tried elsewhere and well.
+  Health alone(2, 3);
+  for (int i = 0; i < 4; ++i) alone.Failed(kSecond * i, "m", "a");
+  EXPECT_FALSE(alone.Sick("m"));
+  alone.Tried("n", "a");
+  EXPECT_TRUE(alone.Sick("m"));
+  alone.Failed(5 * kSecond, "n", "a");
+  EXPECT_FALSE(alone.Sick("m"));
 }
 
 PlaceMachine Machine(const std::string& name, const std::string& zone, bool spot) {
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -157,7 +157,7 @@
         continue;
       }
       Begin(now, job, task, &t);
-      if (fails_all) {
+      if (fails_all || (mistaken != nullptr && mistaken->count(job) != 0)) {
         t.state = TaskState::kExited;
         t.why = ExitReason::kError;
       }
@@ -304,6 +304,7 @@
   w->node = static_cast<size_t>(next_machine_) % nodes_.size();
   w->run_time = run_time;
   w->results = &results;
+  w->mistaken = &mistaken;
   FakeWorker* raw = w.get();
   w->on_start = [this, raw](const std::string& job, int task) { OnStart(*raw, job, task); };
   return *(workers[name] = std::move(w));
@@ -465,6 +466,7 @@
     for (const Json& h : body.at("hosts")) {
       auto it = workers.find(h.get<std::string>());
       if (it == workers.end()) continue;
+      if (!it->second->dead && rented_names_.count(it->first) != 0) ++capacity;
       it->second->dead = true;
       it->second->tasks.clear();
       ++returns;
@@ -488,8 +490,9 @@
       FakeWorker& w =
           AddWorker(body.at("build").get<std::string>(), body.at("loaners").get<bool>());
       w.zone = body.at("room").get<std::string>();
-      w.next_report = w.lease_from = now + 5 * kSecond;
+      w.next_report = w.lease_from = now + (boot_time ? boot_time() : 5 * kSecond);
       hosts.push_back(w.name);
+      rented_names_.insert(w.name);
     }
     Json answer = {{"hosts", hosts}};
     rented[body.at("hire").get<std::string>()] = {body, answer};
--- a/tests/world.h
+++ b/tests/world.h
@@ -83,6 +83,8 @@
   std::function<void(const std::string& job, int task)> on_start;
   // Of all workers: results are kept, a task that is done exits as done when started.
   std::set<std::pair<std::string, int>>* results = nullptr;
+  // Jobs that were submitted with a mistake: they fail everywhere.
+  const std::set<std::string>* mistaken = nullptr;
 };
 
 class World {
@@ -131,6 +133,8 @@
   void ReleaseMesh();
   bool cloud_down = false;
   int capacity = 100;
+  std::function<Micros()> boot_time;  // of the next machine that is rented; unset: 5 s
+  std::set<std::string> mistaken;     // jobs that fail everywhere
   // Called for every call that a node sends; true: it is lost (no answer, but
   // `late` runs it at a later time if set).
   std::function<bool(size_t node, const Call& call)> lose;
@@ -224,6 +228,7 @@
     Micros until;
   };
   std::vector<OpenWatch> watches_;
+  std::set<std::string> rented_names_;  // their room in the cloud is free again once returned
   uint64_t order_ = 0;
   uint64_t next_boot_ = 1;
   int next_machine_ = 1;
