A list says as much as a watch of what was told before it; knowing nothing is not a time near 0

A bound of 0 with a steady clock that has just begun looked like knowledge of a moment ago. A node that has listed the state service now knows all that was committed before, without waiting for its first watch.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -426,6 +426,7 @@
   bool synced_ = false;
   bool listing_ = false;
   uint64_t list_revision_ = 0;
+  Micros list_sent_ = 0;
   struct ListItem {
     std::string value;
     uint64_t version = 0;
--- a/src/core/ownership.cc
+++ b/src/core/ownership.cc
@@ -352,6 +352,9 @@
 }
 
 bool Core::MayRenew(Micros now) const {
+  // A steady clock begins near 0 with its machine: never having known anything must not
+  // look like having known all a moment ago.
+  if (view_at_ == 0) return false;
   Micros bound = now;
   for (const auto& [label, peer] : peers_) bound = std::min(bound, std::max(view_at_, peer.known));
   return now < bound + Shortest(s_.cancel) - Longest(s_.lease) - kRenewMargin;
--- a/src/core/view.cc
+++ b/src/core/view.cc
@@ -24,8 +24,9 @@
 }
 
 void Core::ListPage(Micros now, const std::string& after) {
+  if (after.empty()) list_sent_ = now;
   Send(Dest::kState, "", "GET", wire::ListTarget(kRoot, after, kListLimit), "", kListTimeout,
-       [this, sent = now](Micros t, int status, const std::string& body) {
+       [this](Micros t, int status, const std::string& body) {
          std::optional<wire::StatePage> page;
          if (status == 200) page = wire::DecodeList(body);
          if (!page) {
@@ -41,7 +42,6 @@
          if (page->more && !page->items.empty()) {
            ListPage(t, page->items.back().key);
          } else {
-           (void)sent;
            FinishList(t);
          }
        });
@@ -69,6 +69,7 @@
   synced_ = true;
   watched_at_ = now;
   watch_revision_ = list_revision_;
+  view_at_ = std::max(view_at_, list_sent_);
   StartWatch(now);
 }
 
