--- a/src/core/commit.cc
+++ b/src/core/commit.cc
@@ -16,6 +16,19 @@
 constexpr int64_t kMaxTxnBytes = int64_t{62} * 1024;
 constexpr int64_t kMaxChunkBytes = int64_t{13} * 1024;
 constexpr int kMaxChunks = 1024;
+constexpr int64_t kFullPercent = 95;  // of a value's limit
+constexpr int kWritesKept = 2;        // of a transaction, for what follows the jobs that move
+// Writes that a commit leaves in the budget for more important ones.
+constexpr double kCriticalReserve = 2;
+constexpr double kUrgentReserve = 4;
+constexpr double kCleanupReserve = 6;
+constexpr Micros kNoWritesPause = 50 * kMilli;
+constexpr int kNarrowRounds = 4;  // after a commit that did not fit
+constexpr Micros kFailedCommitPause = 200 * kMilli;
+constexpr Micros kAcquirePause = 250 * kMilli;  // after a conflict, for other shards' tables
+constexpr Micros kConflictPause = 10 * kMilli;  // doubles with each conflict in a row
+constexpr int kConflictDoublings = 5;
+
 // Chunks whose stored content differs between two states of an assignment table.
 std::set<int> ChangedChunks(const AssignmentTable& before, const AssignmentTable& after) {
   std::set<int> out;
@@ -40,194 +53,248 @@
 }
 }  // namespace
 
+// Commits all that a round decided, unless it can wait for what the next round adds.
 void Core::Commit(Micros now, int shard_id, Plan* plan) {
-  Shard& shard = shards_[static_cast<size_t>(shard_id)];
+  Shard& shard = ShardAt(shard_id);
   StateTxn txn;
-  // Only the chunks of machines that changed are written.
-  auto add_table = [this, &txn](int other_id, AssignmentTable* assignments) {
-    const Shard& leader = shards_[static_cast<size_t>(other_id)];
-    std::set<int> dirty = ChangedChunks(leader.assignments, *assignments);
-    if (leader.chunks.count(0) == 0) dirty.insert(0);
-    bool split = false;
-    while (!dirty.empty()) {
-      std::vector<std::pair<int, std::string>> values;
-      int64_t largest = 0;
-      for (int i : dirty) {
-        values.emplace_back(i, EncodeChunk(*assignments, i));
-        largest = std::max(largest, StoredSize(values.back().second));
-      }
-      // Well before a value is full its chunk is divided, one a commit; only one
-      // that would not fit at all makes it more.
-      const int64_t full = settings_.value_bytes * 95 / 100;
-      if (assignments->chunks < kMaxChunks &&
-          (largest > full || (!split && largest > std::min(kMaxChunkBytes, full)))) {
-        dirty.insert({0, SplitChunk(assignments->chunks), assignments->chunks});
-        ++assignments->chunks;
-        split = true;
-        continue;
-      }
-      for (auto& [i, value] : values) {
-        txn.writes.push_back({AssignmentKey(other_id, i), std::move(value), 0, false});
-      }
-      break;
+  WriteTable(shard_id, &plan->assignments, &txn);
+  for (auto& [other_id, assignments] : plan->others) WriteTable(other_id, &assignments, &txn);
+  WriteDoneJobs(plan, &txn);
+  WriteMovedJobs(plan, &txn);
+  if (plan->progress) WriteProgress(shard_id, &txn);
+  if (txn.writes.empty()) {
+    shard.cleanup = false;
+    return;
+  }
+  if (!MayCommitNow(now, &shard, *plan) || !TakeWrites(now, shard_id, *plan, txn.writes.size())) {
+    return;
+  }
+  shard.cleanup_at = 0;
+  shard.committed_at = now;
+  AddConditions(shard_id, *plan, &txn);
+  if (plan->progress) {
+    shard.progress_dirty = false;
+    shard.progress_at = now + FromSeconds(settings_.op.progress_period_s());
+  }
+  std::string body = wire::EncodeTxn(txn);
+  if (!FitsTransaction(txn, body)) {
+    DecideLess(now, shard_id, *plan);
+    return;
+  }
+  SendCommit(shard_id, std::make_shared<Plan>(std::move(*plan)),
+             std::make_shared<std::vector<StateWrite>>(std::move(txn.writes)), std::move(body));
+}
+
+// Writes the chunks of a shard's table whose machines changed, and no others.
+void Core::WriteTable(int shard_id, AssignmentTable* assignments, StateTxn* txn) const {
+  const Shard& shard = ShardAt(shard_id);
+  std::set<int> changed = ChangedChunks(shard.assignments, *assignments);
+  if (shard.chunks.count(0) == 0) changed.insert(0);
+  const int64_t full = settings_.value_bytes * kFullPercent / 100;
+  bool split = false;
+  std::vector<std::pair<int, std::string>> values;
+  for (;;) {
+    values.clear();
+    int64_t largest = 0;
+    for (int chunk : changed) {
+      values.emplace_back(chunk, EncodeChunk(*assignments, chunk));
+      largest = std::max(largest, StoredSize(values.back().second));
     }
-    return !dirty.empty();
-  };
-  bool changed = add_table(shard_id, &plan->assignments);
-  for (auto& [other_id, assignments] : plan->others)
-    changed = add_table(other_id, &assignments) || changed;
+    // Well before a value is full its chunk is divided, one a commit; only one
+    // that would not fit at all makes it more.
+    const bool divide = largest > full || (!split && largest > std::min(kMaxChunkBytes, full));
+    if (!divide || assignments->chunks >= kMaxChunks) break;
+    changed.insert({0, SplitChunk(assignments->chunks), assignments->chunks});
+    ++assignments->chunks;
+    split = true;
+  }
+  for (auto& [chunk, value] : values) {
+    txn->writes.push_back({AssignmentKey(shard_id, chunk), std::move(value), 0, false});
+  }
+}
+
+// Writes a job's record on the condition that it is the one in the replica.
+void Core::WriteJob(const std::string& id, uint64_t version, const JobRecord& record, Plan* plan,
+                    StateTxn* txn) {
+  txn->conditions.push_back({JobKey(id), version});
+  plan->jobs.erase(id);
+  txn->writes.push_back({JobKey(id), EncodeJob(record), 0, false});
+}
+
+void Core::WriteDoneJobs(Plan* plan, StateTxn* txn) const {
   for (const std::string& id : plan->done) {
     const JobEntry* job = FindJob(id);
     if (job == nullptr || job->record.state != JobState::kOpen) continue;
     JobRecord record = job->record;
     record.state = JobState::kDone;
-    txn.conditions.push_back({JobKey(id), job->version});
-    plan->jobs.erase(id);
-    txn.writes.push_back({JobKey(id), EncodeJob(record), 0, false});
+    WriteJob(id, job->version, record, plan, txn);
   }
+}
+
+void Core::WriteMovedJobs(Plan* plan, StateTxn* txn) {
   for (const auto& [id, to] : plan->moved) {
     const JobEntry* job = FindJob(id);
     if (job == nullptr || job->record.state != JobState::kOpen) continue;
-    if (static_cast<int>(txn.writes.size()) + 2 > settings_.txn_ops) break;
+    if (static_cast<int>(txn->writes.size()) + kWritesKept > settings_.txn_ops) break;
     JobRecord record = job->record;
     record.shard_id = to;
     ++record.moves;
-    txn.conditions.push_back({JobKey(id), job->version});
-    plan->jobs.erase(id);
-    txn.writes.push_back({JobKey(id), EncodeJob(record), 0, false});
+    WriteJob(id, job->version, record, plan, txn);
     ++counters_.job_moves;
   }
-  if (plan->progress) {
-    Progress progress;
-    for (const auto& [id, run] : runs_) {
-      if (run.shard_id != shard_id || run.done == 0) continue;
-      std::set<int>& done = progress[id];
-      for (size_t i = 0; i < run.tasks.size(); ++i) {
-        if (run.tasks[i] == kDone) done.insert(static_cast<int>(i));
-      }
-    }
-    std::string value = EncodeProgress(progress);
-    // Losing it only repeats work: what does not fit is left out.
-    while (StoredSize(value) > settings_.value_bytes * 9 / 10 && !progress.empty()) {
-      progress.erase(progress.begin());
-      value = EncodeProgress(progress);
+}
+
+void Core::WriteProgress(int shard_id, StateTxn* txn) const {
+  Progress progress;
+  for (const auto& [id, run] : runs_) {
+    if (run.shard_id != shard_id || run.done == 0) continue;
+    std::set<int>& done = progress[id];
+    for (size_t task = 0; task < run.tasks.size(); ++task) {
+      if (run.tasks[task] == kDone) done.insert(static_cast<int>(task));
     }
-    txn.writes.push_back({ProgressKey(shard_id), std::move(value), 0, false});
   }
-  if (txn.writes.empty()) {
-    shard.cleanup = false;
-    return;
+  std::string value = EncodeProgress(progress);
+  // Losing it only repeats work: what does not fit is left out.
+  while (StoredSize(value) > settings_.value_bytes * 9 / 10 && !progress.empty()) {
+    progress.erase(progress.begin());
+    value = EncodeProgress(progress);
   }
-  const bool urgent = plan->urgent;
-  if (!urgent && !plan->progress) {
-    // Removals alone wait a little, so that one write takes many.
-    if (shard.cleanup_at == 0) {
-      shard.cleanup_at = now + kCleanupPeriod;
-      return;
+  txn->writes.push_back({ProgressKey(shard_id), std::move(value), 0, false});
+}
+
+// Whether a commit goes out in this round, or waits so that one write takes more.
+bool Core::MayCommitNow(Micros now, Shard* shard, const Plan& plan) {
+  if (!plan.urgent && !plan.progress) {
+    // Removals alone.
+    if (shard->cleanup_at == 0) {
+      shard->cleanup_at = now + kCleanupPeriod;
+      return false;
     }
-    if (now < shard.cleanup_at) return;
-  }
-  // What is not critical waits for its turn, so that a commit takes more.
-  if (!plan->critical && now - shard.committed_at < kRoundPeriod) {
-    shard.dirty = true;
-    shard.not_before = shard.committed_at + kRoundPeriod;
-    return;
+    if (now < shard->cleanup_at) return false;
   }
+  if (plan.critical || now - shard->committed_at >= kRoundPeriod) return true;
+  shard->dirty = true;
+  shard->not_before = shard->committed_at + kRoundPeriod;
+  return false;
+}
+
+// Takes so many writes from the budget that a node's shards share.
+bool Core::TakeWrites(Micros now, int shard_id, const Plan& plan, size_t writes) {
+  const double reserve = plan.critical ? kCriticalReserve
+                         : plan.urgent ? kUrgentReserve
+                                       : kCleanupReserve;
   // Shards of one node take turns: a shard with large commits once waited for a minute
   // while another one's small ones took each write that there was.
-  const double reserve = plan->critical ? 2 : urgent ? 4 : 6;
-  bool got = write_turns_.MayTake(now, shard_id);
-  if (got) {
-    got = write_budget_.Take(now, static_cast<double>(txn.writes.size()), reserve);
-    write_turns_.Took(now, shard_id, got);
-  }
-  if (!got) {
-    shard.dirty = true;
-    shard.not_before = now + 50 * kMilli;
-    return;
+  if (write_turns_.MayTake(now, shard_id)) {
+    const bool taken = write_budget_.Take(now, static_cast<double>(writes), reserve);
+    write_turns_.Took(now, shard_id, taken);
+    if (taken) return true;
   }
-  shard.cleanup_at = 0;
-  shard.committed_at = now;
-  txn.conditions.push_back({LeadershipKey(shard_id), shard.epoch});
-  auto all_chunks = [this, &txn](int other_id) {
-    const Shard& leader = shards_[static_cast<size_t>(other_id)];
-    if (leader.chunks.count(0) == 0) txn.conditions.push_back({AssignmentKey(other_id, 0), 0});
-    for (const auto& [i, chunk] : leader.chunks) {
-      txn.conditions.push_back({AssignmentKey(other_id, i), chunk.version});
+  Shard& shard = ShardAt(shard_id);
+  shard.dirty = true;
+  shard.not_before = now + kNoWritesPause;
+  return false;
+}
+
+// A commit holds only under the leadership that decided it, and only if nothing that it
+// builds on has changed.
+void Core::AddConditions(int shard_id, const Plan& plan, StateTxn* txn) const {
+  txn->conditions.push_back({LeadershipKey(shard_id), ShardAt(shard_id).epoch});
+  for (int id = 0; id < settings_.shard_count(); ++id) {
+    if (id == shard_id || plan.all_tables || plan.others.count(id) != 0) {
+      AddTableConditions(id, txn);
     }
-  };
-  for (int other_id = 0; other_id < settings_.shard_count(); ++other_id) {
-    if (other_id == shard_id || plan->all_tables || plan->others.count(other_id) != 0)
-      all_chunks(other_id);
   }
-  for (const std::string& id : plan->jobs) {
+  for (const std::string& id : plan.jobs) {
     const JobEntry* job = FindJob(id);
-    txn.conditions.push_back({JobKey(id), job == nullptr ? 0 : job->version});
-  }
-  if (plan->progress) {
-    shard.progress_dirty = false;
-    shard.progress_at = now + FromSeconds(settings_.op.progress_period_s());
+    txn->conditions.push_back({JobKey(id), job == nullptr ? 0 : job->version});
   }
-  std::string body = wire::EncodeTxn(txn);
-  if (static_cast<int64_t>(body.size()) > kMaxTxnBytes ||
-      static_cast<int>(txn.writes.size()) > settings_.txn_ops ||
-      static_cast<int>(txn.conditions.size()) > 4 * settings_.txn_ops) {
-    // Nothing of it was sent: the next rounds decide less.
-    Log(LogLine::Level::kInfo, "shard " + std::to_string(shard_id) + " decided more than fits");
-    ++counters_.oversized;
-    shard.narrow = 4;
-    shard.batch = std::max<uint32_t>(1, shard.batch / 4);
-    shard.acquire_after = now + kSecond;
-    shard.dirty = true;
-    shard.progress_dirty = shard.progress_dirty || plan->progress;
-    return;
+}
+
+void Core::AddTableConditions(int shard_id, StateTxn* txn) const {
+  const Shard& shard = ShardAt(shard_id);
+  if (shard.chunks.count(0) == 0) txn->conditions.push_back({AssignmentKey(shard_id, 0), 0});
+  for (const auto& [index, chunk] : shard.chunks) {
+    txn->conditions.push_back({AssignmentKey(shard_id, index), chunk.version});
   }
-  counters_.puts += txn.writes.size();
+}
+
+bool Core::FitsTransaction(const StateTxn& txn, const std::string& body) const {
+  return static_cast<int64_t>(body.size()) <= kMaxTxnBytes &&
+         static_cast<int>(txn.writes.size()) <= settings_.txn_ops &&
+         static_cast<int>(txn.conditions.size()) <= 4 * settings_.txn_ops;
+}
+
+// A round decided more than a transaction holds and nothing of it was sent: the next rounds
+// decide less.
+void Core::DecideLess(Micros now, int shard_id, const Plan& plan) {
+  Shard& shard = ShardAt(shard_id);
+  Log(LogLine::Level::kInfo, "shard " + std::to_string(shard_id) + " decided more than fits");
+  ++counters_.oversized;
+  shard.narrow = kNarrowRounds;
+  shard.batch = std::max<uint32_t>(1, shard.batch / 4);
+  shard.acquire_after = now + kSecond;
+  shard.dirty = true;
+  shard.progress_dirty = shard.progress_dirty || plan.progress;
+}
+
+void Core::SendCommit(int shard_id, std::shared_ptr<const Plan> plan,
+                      std::shared_ptr<const std::vector<StateWrite>> writes, std::string body) {
+  Shard& shard = ShardAt(shard_id);
+  counters_.puts += writes->size();
   ++counters_.commits;
   shard.committing = true;
-  auto shared = std::make_shared<Plan>(std::move(*plan));
-  auto writes = std::make_shared<std::vector<StateWrite>>(txn.writes);
   Send(Dest::kState, "", "POST", wire::CommitTarget(), std::move(body), kCommitTimeout,
-       [this, shard_id, shared, writes, epoch = shard.epoch](Micros t, int status,
-                                                             const std::string& body) {
-         Shard& shard = shards_[static_cast<size_t>(shard_id)];
-         std::optional<wire::TxnReply> reply;
-         if (status == 200 || status == 409) reply = wire::DecodeTxnReply(body);
-         if (reply) state_ok_ = t;
-         bool current = shard.is_leader && shard.epoch == epoch;
-         if (current) shard.committing = false;
-         if (status == 200 && reply) {
-           for (const StateWrite& w : *writes) ApplyPut(t, w.key, w.value, reply->revision);
-           ReindexShards(t);
-           if (current) OnCommitted(t, shard_id, *shared);
-           return;
-         }
-         if (!current) return;
-         shard.dirty = true;
-         if (shared->progress) shard.progress_dirty = true;
-         if (status == 409) {
-           // The replica is behind; the watch is about to tell. The leadership itself
-           // may be gone, which the watch or a peer tells as well.
-           ++counters_.commit_conflicts;
-           if (!shared->others.empty()) shard.acquire_after = t + 250 * kMilli;
-           ++shard.conflicts;
-           shard.not_before =
-               t + std::min<Micros>(200 * kMilli, (10 * kMilli) << std::min(shard.conflicts, 5));
-           if (reply) {
-             for (const std::string& key : reply->failed) {
-               if (ParseKey(key).kind == Key::Kind::kJob) FetchJob(t, ParseKey(key).id);
-             }
-           }
-         } else {
-           // Unknown: the next round commits on the same stamps, and so either
-           // voids this transaction or learns that it applied.
-           if (status == kNoAnswer) ++counters_.commit_unknown;
-           if (status == 429) write_budget_.Drain(t);
-           shard.not_before = t + 200 * kMilli;
-         }
+       [this, shard_id, plan = std::move(plan), writes = std::move(writes), epoch = shard.epoch](
+           Micros at, int status, const std::string& answer) {
+         OnCommitAnswered(at, shard_id, epoch, *plan, *writes, status, answer);
        });
 }
 
+void Core::OnCommitAnswered(Micros now, int shard_id, uint64_t epoch, const Plan& plan,
+                            const std::vector<StateWrite>& writes, int status,
+                            const std::string& body) {
+  Shard& shard = ShardAt(shard_id);
+  std::optional<wire::TxnReply> reply;
+  if (status == 200 || status == 409) reply = wire::DecodeTxnReply(body);
+  if (reply) state_ok_ = now;
+  const bool current = shard.is_leader && shard.epoch == epoch;
+  if (current) shard.committing = false;
+  if (status == 200 && reply) {
+    for (const StateWrite& write : writes) ApplyPut(now, write.key, write.value, reply->revision);
+    ReindexShards(now);
+    if (current) OnCommitted(now, shard_id, plan);
+    return;
+  }
+  if (!current) return;
+  shard.dirty = true;
+  if (plan.progress) shard.progress_dirty = true;
+  if (status == 409) {
+    OnCommitConflict(now, &shard, plan, reply ? reply->failed : std::vector<std::string>());
+    return;
+  }
+  // Unknown: the next round commits on the same stamps, and so either
+  // voids this transaction or learns that it applied.
+  if (status == kNoAnswer) ++counters_.commit_unknown;
+  if (status == 429) write_budget_.Drain(now);
+  shard.not_before = now + kFailedCommitPause;
+}
+
+// The replica is behind; the watch is about to tell. The leadership itself may be gone,
+// which the watch or a peer tells as well.
+void Core::OnCommitConflict(Micros now, Shard* shard, const Plan& plan,
+                            const std::vector<std::string>& failed) {
+  ++counters_.commit_conflicts;
+  if (!plan.others.empty()) shard->acquire_after = now + kAcquirePause;
+  ++shard->conflicts;
+  const Micros pause = kConflictPause << std::min(shard->conflicts, kConflictDoublings);
+  shard->not_before = now + std::min(kFailedCommitPause, pause);
+  for (const std::string& name : failed) {
+    const Key key = ParseKey(name);
+    if (key.kind == Key::Kind::kJob) FetchJob(now, key.id);
+  }
+}
+
 void Core::OnCommitted(Micros now, int shard_id, const Plan& plan) {
   Shard& shard = shards_[static_cast<size_t>(shard_id)];
   shard.cleanup = false;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
@@ -501,6 +502,8 @@
   Micros RoundPace(const Shard& shard) const;
   void RunRounds(Micros now);
   struct Plan;
+  class Placer;
+  class RentalPlanner;
   struct Preemptible;
   struct PreemptibleTask;
   struct Waiting;
@@ -547,6 +550,24 @@
   bool PlanAcquisition(Micros now, int shard_id, Plan* plan, const JobSpec& spec);
   bool PlanQuotaTransfer(Micros now, int shard_id, Plan* plan, const Team& team, const Share& want);
   void Commit(Micros now, int shard_id, Plan* plan);
+  void WriteTable(int shard_id, AssignmentTable* assignments, StateTxn* txn) const;
+  static void WriteJob(const std::string& id, uint64_t version, const JobRecord& record, Plan* plan,
+                       StateTxn* txn);
+  void WriteDoneJobs(Plan* plan, StateTxn* txn) const;
+  void WriteMovedJobs(Plan* plan, StateTxn* txn);
+  void WriteProgress(int shard_id, StateTxn* txn) const;
+  static bool MayCommitNow(Micros now, Shard* shard, const Plan& plan);
+  bool TakeWrites(Micros now, int shard_id, const Plan& plan, size_t writes);
+  void AddConditions(int shard_id, const Plan& plan, StateTxn* txn) const;
+  void AddTableConditions(int shard_id, StateTxn* txn) const;
+  bool FitsTransaction(const StateTxn& txn, const std::string& body) const;
+  void DecideLess(Micros now, int shard_id, const Plan& plan);
+  void SendCommit(int shard_id, std::shared_ptr<const Plan> plan,
+                  std::shared_ptr<const std::vector<StateWrite>> writes, std::string body);
+  void OnCommitAnswered(Micros now, int shard_id, uint64_t epoch, const Plan& plan,
+                        const std::vector<StateWrite>& writes, int status, const std::string& body);
+  void OnCommitConflict(Micros now, Shard* shard, const Plan& plan,
+                        const std::vector<std::string>& failed);
   void OnCommitted(Micros now, int shard_id, const Plan& plan);
   void BeginPlan(Micros now, int shard_id, Plan* plan) const;
   PlaceMachine EmptyMachine(Micros now, const AssignedMachine& machine) const;
@@ -567,7 +588,7 @@
   void AddRental(int shard_id, Plan* plan, const Offer& offer, bool spot, int count,
                  const std::string& helps, const std::string& reason);
 
-  // --- fleet (fleet.cc, cloud.cc, silence.cc) ----------------------------------
+  // --- fleet (fleet.cc, returns.cc, cloud.cc, silence.cc) ----------------------------------
   void RunCloud(Micros now);
   void AskTypes(Micros now);
   void AskMachines(Micros now, const std::string& after);
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -4,6 +4,10 @@
 
 namespace troutlink {
 
+namespace {
+constexpr int64_t kMaxTasksThatFit = 1 << 20;
+}  // namespace
+
 bool TypeAllowed(const JobSpec& spec, const std::string& type, bool spot) {
   if (spot && !spec.spot) return false;
   return spec.types.empty() ||
@@ -12,6 +16,14 @@
 
 int SpreadLimit(const JobSpec& spec) { return (spec.tasks + 1) / 2; }
 
+int TasksThatFit(const JobSpec& spec, const Amount& room) {
+  int64_t tasks = kMaxTasksThatFit;
+  if (spec.each.cpus > 0) tasks = std::min(tasks, room.cpus / spec.each.cpus);
+  if (spec.each.gpus > 0) tasks = std::min(tasks, room.gpus / spec.each.gpus);
+  if (spec.each.memory > 0) tasks = std::min(tasks, room.memory / spec.each.memory);
+  return static_cast<int>(std::max<int64_t>(0, tasks));
+}
+
 bool Allowed(const JobSpec& spec, const JobSpread& spread, const PlaceMachine& m) {
   if (!TypeAllowed(spec, m.type, m.spot)) return false;
   if (!spec.zone.empty() && spec.zone != m.zone) return false;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -122,6 +122,12 @@
 // At most this many tasks of a spread job may be in one zone.
 int SpreadLimit(const JobSpec& spec);
 
+// How many tasks of a job fit into this room.
+int TasksThatFit(const JobSpec& spec, const Amount& room);
+
+// Room in a zone, in thousandths of cpus, that counts as having a place there.
+inline constexpr int64_t kZoneRoom = 4000;
+
 // Index of the best machine, or -1.
 int ChooseMachine(const PlaceRequest& request, const std::vector<PlaceMachine>& machines,
                   const PlaceIndex& index);
--- a/src/core/placing.cc
+++ b/src/core/placing.cc
@@ -15,6 +15,8 @@
 constexpr Micros kGuaranteePatience = 300 * kMilli;  // the same within its team's guarantee
 constexpr int kMaxPreemptions = 32;                  // jobs that others make way for in one round
 constexpr int64_t kLendBelow = 10;                   // steady cpus for each that is kept free
+constexpr int kMovesOfService = 2;                   // between shards, before it starts in parts
+constexpr size_t kMachinesPerReservation = 20;
 }  // namespace
 
 // How much room services keep, and whether work that stops at once may use it.
@@ -70,158 +72,284 @@
   return kept;
 }
 
+// Places the waiting tasks of one round, job by job, in the plan of the round.
+class Core::Placer {
+ public:
+  Placer(Core* core, Micros now, int shard_id, Plan* plan)
+      : core_(*core),
+        now_(now),
+        shard_id_(shard_id),
+        plan_(*plan),
+        shard_(core->ShardAt(shard_id)),
+        batch_(std::max(shard_.batch, core->settings_.op.batch())),
+        max_jobs_(core->MaxJobsOfRound(shard_id)),
+        max_reserved_(1 + plan->machines.size() / kMachinesPerReservation),
+        headroom_(core->HeadroomOf(shard_id, *plan)),
+        lowest_priority_(core->LowestPlacedPriority(shard_id)) {}
+
+  void Place(const Waiting& waiting);
+  // Whether the round has decided as much as it may.
+  bool Full() const { return BatchFull() || plan_.jobs.size() >= max_jobs_; }
+  bool BatchFull() const { return started_ >= batch_; }
+  uint32_t batch() const { return batch_; }
+
+ private:
+  // The job that is being placed.
+  struct Job {
+    Job(const Waiting& job, const Team& its_team) : waiting(job), spec(*job.spec), team(its_team) {}
+
+    const Waiting& waiting;
+    const JobSpec& spec;
+    const Team& team;
+    Share kept;  // of the team's limit, for its services
+    PlaceRequest request;
+    std::string shape;             // empty: its tasks are placed one by one
+    bool gang = false;             // its tasks have one attempt number
+    bool whole = false;            // all of its tasks start, or none
+    std::unique_ptr<Plan> before;  // the plan without it
+    size_t begun = 0;              // starts in the plan before its own
+    uint64_t gang_number = 0;
+    int left = 0;              // tasks
+    int machine = -1;          // that is being filled
+    bool asked_quota = false;  // of other shards
+    bool no_machine = false;
+  };
+
+  Job Begin(const Waiting& waiting);
+  bool MustStartWhole(const Waiting& waiting) const;
+  void PlaceTasks(Job* job);
+  // Whether the team's limit allows one more task, if need be by quota of other shards.
+  bool WithinQuota(Job* job);
+  bool FitsQuota(const Job& job);
+  // Sets the machine of the next task; -1: none now.
+  void FindMachine(Job* job);
+  bool FitsClosedMachine(Job* job) const;
+  void AcquireMachine(Job* job);
+  void Start(Job* job, size_t task);
+  void Undo(Job* job);
+  void OnNoMachine(Job* job);
+  void MakeRoom(const Job& job);
+
+  Core& core_;
+  const Micros now_;
+  const int shard_id_;
+  Plan& plan_;
+  Shard& shard_;
+  const uint32_t batch_;  // batches widen with the load
+  const size_t max_jobs_;
+  const size_t max_reserved_;  // reserved machines stand partly idle: a few at a time
+  const Headroom headroom_;
+  const std::optional<Priority> lowest_priority_;
+  uint32_t started_ = 0;
+  size_t reserved_ = 0;
+  int preemptions_ = 0;
+  int array_preemptions_ = 0;
+  std::set<std::string> no_room_;  // shapes that found no machine in this round
+};
+
+// A service that spreads is not begun where it cannot be completed, as long as another shard
+// may take it: its replicas would tie it to this one.
+bool Core::Placer::MustStartWhole(const Waiting& waiting) const {
+  const JobSpec& spec = *waiting.spec;
+  if (spec.kind == JobKind::kGang) return true;
+  if (!spec.spread || spec.kind != JobKind::kService) return false;
+  const JobRun& run = *waiting.run;
+  return run.placed == 0 && waiting.moves < kMovesOfService &&
+         (run.unplaced_since == 0 || now_ - run.unplaced_since < kWholePatience);
+}
+
+Core::Placer::Job Core::Placer::Begin(const Waiting& waiting) {
+  const JobSpec& spec = *waiting.spec;
+  Job job(waiting, *core_.FindTeam(spec.team));
+  job.kept = core_.KeptForServices(spec, job.team);
+  job.gang = spec.kind == JobKind::kGang;
+  job.whole = MustStartWhole(waiting);
+  job.request.spec = &spec;
+  job.request.spread = &plan_.SpreadOf(spec);
+  job.request.tail = plan_.assignments.helps.count(spec.id) != 0;
+  job.request.steady_headroom = headroom_.steady;
+  job.request.zone_headroom = headroom_.zone;
+  job.request.image_headroom = headroom_.image;
+  job.request.lend = headroom_.lend;
+  if (job.gang) job.before = std::make_unique<Plan>(plan_);
+  job.begun = plan_.started.size();
+  if (job.gang) job.gang_number = core_.NextNumber(shard_id_, &plan_);
+  if (spec.kind == JobKind::kArray && !spec.spread && !spec.one_zone && !job.request.tail) {
+    job.shape = ShapeOf(spec);
+  }
+  // An array of the same shape found no machine a moment ago: nor will this one.
+  job.no_machine = !job.shape.empty() && no_room_.count(job.shape) != 0;
+  job.left = waiting.tasks;
+  return job;
+}
+
+void Core::Placer::Place(const Waiting& waiting) {
+  Job job = Begin(waiting);
+  PlaceTasks(&job);
+  if (job.whole && job.left > 0) {
+    Undo(&job);
+    return;
+  }
+  if (plan_.started.size() > job.begun) {
+    plan_.jobs.insert(job.spec.id);
+    plan_.urgent = true;
+    plan_.critical = plan_.critical || job.spec.priority == Priority::kProduction;
+  }
+  if (job.no_machine && job.left > 0) OnNoMachine(&job);
+}
+
+void Core::Placer::PlaceTasks(Job* job) {
+  const JobRun& run = *job->waiting.run;
+  for (auto task = static_cast<size_t>(run.hint); task < run.tasks.size(); ++task) {
+    if (job->left <= 0 || job->no_machine) return;
+    if (run.tasks[task] != kWaiting) continue;
+    if (BatchFull() && !job->whole) return;
+    if (!WithinQuota(job)) return;
+    FindMachine(job);
+    if (job->machine < 0) return;
+    Start(job, task);
+  }
+}
+
+bool Core::Placer::FitsQuota(const Job& job) {
+  Share share = ShareOf(plan_.assignments, job.team, shard_id_, core_.settings_.shard_count());
+  share.cpus -= job.kept.cpus;
+  return WithinShare(job.team, share, plan_.use.teams[job.spec.team], job.spec.each);
+}
+
+bool Core::Placer::WithinQuota(Job* job) {
+  if (FitsQuota(*job)) return true;
+  if (job->asked_quota) return false;
+  job->asked_quota = true;
+  const Share want{job->spec.each.cpus * job->left + job->kept.cpus,
+                   job->spec.each.gpus * job->left};
+  if (core_.PlanQuotaTransfer(now_, shard_id_, &plan_, job->team, want) && FitsQuota(*job)) {
+    return true;
+  }
+  if (job->spec.priority == Priority::kProduction) {
+    core_.PreemptTeam(now_, shard_id_, &plan_, job->spec);
+  }
+  plan_.limited[job->spec.team] += job->left;
+  return false;
+}
+
+void Core::Placer::FindMachine(Job* job) {
+  // An array's tasks fill one machine after the other.
+  if (job->machine >= 0 && !job->shape.empty()) {
+    const PlaceMachine& last = plan_.machines[static_cast<size_t>(job->machine)];
+    if (last.spot && job->spec.each.Fits(last.free)) return;
+  }
+  job->machine = ChooseMachine(job->request, plan_.machines, plan_.index);
+  if (job->machine >= 0) return;
+  // A machine of another chunk has room: no reason to take or rent one.
+  if (plan_.windowed && FitsClosedMachine(job)) {
+    shard_.dirty = true;
+    return;
+  }
+  AcquireMachine(job);
+  if (job->machine >= 0) return;
+  job->no_machine = true;
+  if (!job->shape.empty()) no_room_.insert(job->shape);
+}
+
+bool Core::Placer::FitsClosedMachine(Job* job) const {
+  job->request.closed_too = true;
+  const bool fits = ChooseMachine(job->request, plan_.machines, plan_.index) >= 0;
+  job->request.closed_too = false;
+  return fits;
+}
+
+void Core::Placer::AcquireMachine(Job* job) {
+  // An acquisition that comes to nothing is undone with the rest.
+  if (job->whole && job->before == nullptr) job->before = std::make_unique<Plan>(plan_);
+  if (core_.PlanAcquisition(now_, shard_id_, &plan_, job->spec)) {
+    job->machine = ChooseMachine(job->request, plan_.machines, plan_.index);
+  }
+}
+
+void Core::Placer::Start(Job* job, size_t task) {
+  const JobSpec& spec = job->spec;
+  PlaceMachine& machine = plan_.machines[static_cast<size_t>(job->machine)];
+  if (!spec.image.empty()) {
+    plan_.index.Remove(machine);
+    if (!machine.Has(spec.image)) machine.fetching.push_back(spec.image);
+    plan_.index.Add(&machine);
+  }
+  plan_.Occupy(&machine, spec, 1);
+  plan_.Change(machine.name);
+  // The tasks of a gang find each other by a common attempt.
+  const uint64_t number = job->gang ? job->gang_number : core_.NextNumber(shard_id_, &plan_);
+  const Attempt attempt{spec.id, static_cast<int>(task), number};
+  plan_.assignments.machines[machine.name].attempts.push_back(attempt);
+  plan_.started.emplace_back(machine.name, attempt);
+  if (machine.helps == spec.id) {
+    plan_.assignments.helps[spec.id].credit -=
+        static_cast<double>(spec.each.cpus) / 1000.0 * ToSeconds(spec.estimate) / 3600.0;
+  }
+  ++started_;
+  --job->left;
+  if (!job->whole) job->waiting.run->unplaced_since = 0;
+}
+
+// Takes back what was placed of a job that starts whole or not at all.
+void Core::Placer::Undo(Job* job) {
+  if (job->before != nullptr) plan_ = std::move(*job->before);
+  Withdraw(&plan_, job->spec, job->begun);
+  started_ = static_cast<uint32_t>(plan_.started.size());
+  JobRun& run = *job->waiting.run;
+  if (run.unplaced_since == 0) run.unplaced_since = now_;
+  if (job->no_machine) {
+    plan_.unplaced.push_back({&job->spec, job->waiting.tasks, job->request.tail});
+  }
+}
+
+void Core::Placer::OnNoMachine(Job* job) {
+  const JobSpec& spec = job->spec;
+  JobRun& run = *job->waiting.run;
+  plan_.unplaced.push_back({&spec, job->left, job->request.tail});
+  if (run.unplaced_since == 0) run.unplaced_since = now_;
+  if (job->waiting.aged && plan_.started.size() == job->begun && reserved_ < max_reserved_) {
+    ++reserved_;
+    Reserve(&plan_, spec);
+  }
+  if (spec.priority == Priority::kProduction && now_ - shard_.explained_at > kSecond) {
+    shard_.explained_at = now_;
+    core_.Log(LogLine::Level::kDebug,
+              "no room for " + spec.id + " (" + std::to_string(job->left) + " left)");
+  }
+  MakeRoom(*job);
+}
+
+// Stops less important work, not for too many jobs at once.
+void Core::Placer::MakeRoom(const Job& job) {
+  const JobSpec& spec = job.spec;
+  if (spec.priority == Priority::kProduction) {
+    if (++preemptions_ > kMaxPreemptions) return;
+    core_.PlanPreemption(now_, shard_id_, &plan_, spec, job.left);
+    return;
+  }
+  if (spec.kind != JobKind::kArray || !lowest_priority_ || spec.priority <= *lowest_priority_) {
+    return;
+  }
+  const Micros patience = job.waiting.within ? kGuaranteePatience : kArrayPatience;
+  if (now_ - job.waiting.run->unplaced_since < patience) return;
+  if (++array_preemptions_ > kMaxPreemptions) return;
+  const int within_limit = core_.TasksWithinLimit(plan_, job.team, shard_id_, spec, job.kept);
+  if (within_limit <= 0) return;
+  core_.PlanPreemption(now_, shard_id_, &plan_, spec, std::min(job.left, within_limit));
+}
+
 void Core::PlanPlacement(Micros now, int shard_id, Plan* plan) {
-  Shard& shard = shards_[static_cast<size_t>(shard_id)];
   std::vector<Waiting> waiting = CollectWaiting(now, shard_id, *plan);
   OrderWaiting(now, *plan, &waiting);
-  // Batches widen with the load.
-  uint32_t batch = std::max(shard.batch, settings_.op.batch());
-  uint32_t started = 0;
-  const size_t most_jobs = MaxJobsOfRound(shard_id);
-  const Headroom headroom = HeadroomOf(shard_id, *plan);
-  int preemptions = 0, array_preemptions = 0;
-  const std::optional<Priority> lowest = LowestPlacedPriority(shard_id);
-  // Reserved machines stand partly idle: a few of them at a time.
-  size_t reserved = 0;
-  const size_t most_reserved = 1 + plan->machines.size() / 20;
-  std::set<std::string> no_room;  // shapes that found no machine in this round
-  for (const Waiting& w : waiting) {
-    const JobSpec& spec = *w.spec;
-    if (started >= batch || plan->jobs.size() >= most_jobs) break;
-    const Team& team = *FindTeam(spec.team);
-    const bool tail = plan->assignments.helps.count(spec.id) != 0;
-    const JobSpread& spread = plan->SpreadOf(spec);
-    const Share kept = KeptForServices(spec, team);
-    bool asked_share = false;
-    const bool gang = spec.kind == JobKind::kGang;
-    // A service that spreads is not begun where it cannot be completed, as long
-    // as another shard may take it: its replicas would tie it to this one.
-    const bool whole =
-        gang ||
-        (spec.spread && spec.kind == JobKind::kService && w.run->placed == 0 && w.moves < 2 &&
-         (w.run->unplaced_since == 0 || now - w.run->unplaced_since < kWholePatience));
-    std::unique_ptr<Plan> before = gang ? std::make_unique<Plan>(*plan) : nullptr;
-    const size_t begun = plan->started.size();
-    const uint64_t gang_number = gang ? NextNumber(shard_id, plan) : 0;
-    PlaceRequest request;
-    request.spec = &spec;
-    request.spread = &spread;
-    request.tail = tail;
-    request.steady_headroom = headroom.steady;
-    request.zone_headroom = headroom.zone;
-    request.image_headroom = headroom.image;
-    request.lend = headroom.lend;
-    // An array of the same shape found no machine a moment ago: nor will this one.
-    const std::string shape =
-        spec.kind != JobKind::kArray || spec.spread || spec.one_zone || tail ? "" : ShapeOf(spec);
-    int left = w.tasks;
-    int on = -1;  // the machine that is being filled
-    bool no_machine = !shape.empty() && no_room.count(shape) != 0;
-    for (size_t i = static_cast<size_t>(w.run->hint);
-         i < w.run->tasks.size() && left > 0 && !no_machine; ++i) {
-      if (w.run->tasks[i] != kWaiting) continue;
-      if (started >= batch && !whole) break;
-      auto within = [&] {
-        Share share = ShareOf(plan->assignments, team, shard_id, settings_.shard_count());
-        share.cpus -= kept.cpus;
-        return WithinShare(team, share, plan->use.teams[spec.team], spec.each);
-      };
-      if (!within()) {
-        if (asked_share) break;
-        asked_share = true;
-        Share want{spec.each.cpus * left + kept.cpus, spec.each.gpus * left};
-        if (!PlanQuotaTransfer(now, shard_id, plan, team, want) || !within()) {
-          if (spec.priority == Priority::kProduction) PreemptTeam(now, shard_id, plan, spec);
-          plan->limited[spec.team] += left;
-          break;
-        }
-      }
-      // An array's tasks fill one machine after the other.
-      bool fits = on >= 0 && !shape.empty() && plan->machines[static_cast<size_t>(on)].spot &&
-                  spec.each.Fits(plan->machines[static_cast<size_t>(on)].free);
-      if (!fits) on = ChooseMachine(request, plan->machines, plan->index);
-      if (on < 0 && plan->windowed) {
-        // A machine of another chunk has room: no reason to take or rent one.
-        request.closed_too = true;
-        const bool soon = ChooseMachine(request, plan->machines, plan->index) >= 0;
-        request.closed_too = false;
-        if (soon) {
-          shard.dirty = true;
-          break;
-        }
-      }
-      if (on < 0) {
-        // A take that comes to nothing is undone with the rest.
-        if (whole && before == nullptr) before = std::make_unique<Plan>(*plan);
-        if (PlanAcquisition(now, shard_id, plan, spec)) {
-          on = ChooseMachine(request, plan->machines, plan->index);
-        }
-      }
-      if (on < 0) {
-        no_machine = true;
-        if (!shape.empty()) no_room.insert(shape);
-        break;
-      }
-      PlaceMachine& machine = plan->machines[static_cast<size_t>(on)];
-      if (!spec.image.empty()) {
-        plan->index.Remove(machine);
-        if (!machine.Has(spec.image)) machine.fetching.push_back(spec.image);
-        plan->index.Add(&machine);
-      }
-      plan->Occupy(&machine, spec, 1);
-      plan->Change(machine.name);
-      // The tasks of a gang find each other by a common attempt.
-      Attempt a{spec.id, static_cast<int>(i), gang ? gang_number : NextNumber(shard_id, plan)};
-      plan->assignments.machines[machine.name].attempts.push_back(a);
-      plan->started.emplace_back(machine.name, a);
-      if (machine.helps == spec.id) {
-        plan->assignments.helps[spec.id].credit -=
-            static_cast<double>(spec.each.cpus) / 1000.0 * ToSeconds(spec.estimate) / 3600.0;
-      }
-      ++started;
-      --left;
-      if (!whole) w.run->unplaced_since = 0;
-    }
-    if (whole && left > 0) {
-      if (before != nullptr) *plan = std::move(*before);
-      Withdraw(plan, spec, begun);
-      started = static_cast<uint32_t>(plan->started.size());
-      if (w.run->unplaced_since == 0) w.run->unplaced_since = now;
-      if (no_machine) plan->unplaced.push_back({&spec, w.tasks, tail});
-      continue;
-    }
-    if (plan->started.size() > begun) {
-      plan->jobs.insert(spec.id);
-      plan->urgent = true;
-      plan->critical = plan->critical || spec.priority == Priority::kProduction;
-    }
-    if (no_machine && left > 0) {
-      plan->unplaced.push_back({&spec, left, tail});
-      if (w.run->unplaced_since == 0) w.run->unplaced_since = now;
-      if (w.aged && plan->started.size() == begun && reserved < most_reserved) {
-        ++reserved;
-        Reserve(plan, spec);
-      }
-      if (spec.priority == Priority::kProduction && now - shard.explained_at > kSecond) {
-        shard.explained_at = now;
-        Log(LogLine::Level::kDebug,
-            "no room for " + spec.id + " (" + std::to_string(left) + " left)");
-      }
-      // Not for too many at once.
-      if (spec.priority == Priority::kProduction) {
-        if (++preemptions <= kMaxPreemptions) PlanPreemption(now, shard_id, plan, spec, left);
-      } else if (lowest && spec.priority > *lowest && spec.kind == JobKind::kArray &&
-                 now - w.run->unplaced_since >= (w.within ? kGuaranteePatience : kArrayPatience) &&
-                 ++array_preemptions <= kMaxPreemptions) {
-        const int within_limit = TasksWithinLimit(*plan, team, shard_id, spec, kept);
-        if (within_limit > 0) {
-          PlanPreemption(now, shard_id, plan, spec, std::min(left, within_limit));
-        }
-      }
-    }
+  Placer placer(this, now, shard_id, plan);
+  for (const Waiting& job : waiting) {
+    if (placer.Full()) break;
+    placer.Place(job);
   }
-  shard.batch =
-      started >= batch ? std::min(batch * 2, settings_.op.batch_most()) : settings_.op.batch();
+  ShardAt(shard_id).batch = placer.BatchFull()
+                                ? std::min(placer.batch() * 2, settings_.op.batch_most())
+                                : settings_.op.batch();
 }
 
 // How many more tasks of a job its team's limit allows in this shard.
--- a/src/core/preemption.cc
+++ b/src/core/preemption.cc
@@ -7,22 +7,12 @@
 namespace troutlink {
 
 namespace {
-constexpr int kMaxPreempted = 64;  // tasks that one round stops
-constexpr int64_t kMaxTasksThatFit = 1 << 20;
+constexpr int kMaxPreempted = 64;            // tasks that one round stops
 constexpr Micros kFetchCost = 20 * kSecond;  // of a machine without the image
 // A task that was stopped so often for other arrays is left alone, or it would never end.
 constexpr int kMaxPreemptionsOfTask = 2;
 constexpr Micros kNearEnd = 10 * kSecond;
 
-// How many more tasks of a shape fit into this room.
-int TasksThatFit(const JobSpec& spec, const Amount& room) {
-  int64_t tasks = kMaxTasksThatFit;
-  if (spec.each.cpus > 0) tasks = std::min(tasks, room.cpus / spec.each.cpus);
-  if (spec.each.gpus > 0) tasks = std::min(tasks, room.gpus / spec.each.gpus);
-  if (spec.each.memory > 0) tasks = std::min(tasks, room.memory / spec.each.memory);
-  return static_cast<int>(std::max<int64_t>(0, tasks));
-}
-
 // What stopping a task now costs: the work that it repeats, or the time to save it.
 Micros StoppingCost(Micros now, Micros running_at, const JobSpec& spec) {
   if (running_at == 0) return 0;
--- /dev/null
+++ b/src/core/rental_planner.cc
@@ -0,0 +1,199 @@
+#include "core/rental_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace troutlink {
+
+namespace {
+constexpr double kSlowBoot = 1.8;  // of the usual boot time
+// Where nothing can run yet, a wait without end.
+constexpr Micros kNoEnd = 3600 * kSecond;
+constexpr int kWavesWhenLate = 3;
+
+double Cpus(int64_t thousandths) { return static_cast<double>(thousandths) / 1000; }
+}  // namespace
+
+Core::RentalPlanner::RentalPlanner(const Core& core, Micros now, Plan* plan)
+    : core_(core), now_(now), plan_(plan), in_zone_(InZones(plan->assignments)) {
+  CollectComing();
+  for (const PlaceMachine& machine : plan_->machines) {
+    if (machine.usable && machine.spot) spot_cpus_ += Cpus(machine.size.cpus);
+  }
+  for (const Coming& coming : coming_) {
+    if (coming.spot) spot_cpus_ += Cpus(coming.free.cpus);
+  }
+}
+
+void Core::RentalPlanner::CollectComing() {
+  for (const auto& [name, machine] : plan_->assignments.machines) {
+    const MachineType* type = core_.TypeOf(machine.type);
+    if (type == nullptr || !WillCome(machine, *type)) continue;
+    coming_.push_back({machine.type, machine.zone, machine.helps, machine.spot, type->size});
+  }
+  for (const auto& [request, rental] : plan_->assignments.rentals) {
+    const MachineType* type = core_.TypeOf(rental.ask.type);
+    if (type == nullptr) continue;
+    for (int i = 0; i < rental.ask.count; ++i) {
+      coming_.push_back(
+          {rental.ask.type, rental.ask.zone, rental.helps, rental.ask.spot, type->size});
+    }
+  }
+}
+
+bool Core::RentalPlanner::WillCome(const AssignedMachine& machine, const MachineType& type) const {
+  if (machine.leaving) return false;
+  auto found = core_.machines_.find(machine.name);
+  if (found == core_.machines_.end()) return true;
+  const MachineInfo& info = found->second;
+  if (info.first_heard != 0 || info.give_up || info.failed) return false;
+  // One that should have been up long ago is no room to count on.
+  const auto slow = static_cast<Micros>(kSlowBoot * static_cast<double>(type.boot));
+  return info.since == 0 || now_ - info.since <= slow;
+}
+
+void Core::RentalPlanner::Add(const Offer& offer, bool spot, int count, const std::string& reason) {
+  Want& want = wants_[OfferKey(offer.type->name, offer.zone, spot)];
+  want.offer = offer;
+  want.spot = spot;
+  want.count += count;
+  if (want.reason.empty()) want.reason = reason;
+  in_zone_[offer.zone] += count;
+}
+
+void Core::RentalPlanner::AddUnplaced() {
+  for (const Plan::Unplaced& unplaced : plan_->unplaced) AddUnplacedJob(unplaced);
+}
+
+void Core::RentalPlanner::AddUnplacedJob(const Plan::Unplaced& unplaced) {
+  const JobSpec& spec = *unplaced.spec;
+  cpus_ahead_ += Cpus(unplaced.tasks * spec.each.cpus) * ToSeconds(spec.estimate);
+  JobSpread spread = plan_->SpreadOf(spec);
+  const double share = spec.kind == JobKind::kService ? 1.0 : core_.settings_.op.rent_share();
+  int left = WithinTeamLimit(spec, static_cast<int>(std::ceil(unplaced.tasks * share)));
+  left = FillComing(spec, left, &spread);
+  if (left <= 0) return;
+  Offer offer;
+  const bool spot =
+      spec.spot && !unplaced.tail && core_.PickOffer(now_, spec, spread, true, in_zone_, &offer);
+  if (!spot) {
+    if (spec.spot && core_.IdleTimeWork(spec)) return;
+    if (!core_.PickOffer(now_, spec, spread, false, in_zone_, &offer)) return;
+    if (spec.spot && spec.kind == JobKind::kArray && !unplaced.tail) {
+      left = WorthSteady(unplaced, *offer.type, left);
+      if (left <= 0) return;
+    }
+  }
+  RentFor(spec, offer, spot, left);
+}
+
+// Beyond its team's limit a job has no use for machines.
+int Core::RentalPlanner::WithinTeamLimit(const JobSpec& spec, int tasks) const {
+  const Team* team = core_.FindTeam(spec.team);
+  if (team == nullptr || team->cpus_max <= 0 || spec.each.cpus <= 0) return tasks;
+  return std::min(tasks, static_cast<int>(team->cpus_max / spec.each.cpus));
+}
+
+int Core::RentalPlanner::FillComing(const JobSpec& spec, int tasks, JobSpread* spread) {
+  for (Coming& coming : coming_) {
+    if (tasks <= 0) break;
+    if (!coming.helps.empty() && coming.helps != spec.id) continue;
+    PlaceMachine probe;
+    probe.type = coming.type;
+    probe.zone = coming.zone;
+    probe.spot = coming.spot;
+    while (tasks > 0 && spec.each.Fits(coming.free) && Allowed(spec, *spread, probe)) {
+      coming.free -= spec.each;
+      ++spread->by_zone[coming.zone];
+      --tasks;
+      if (spec.each.cpus <= 0) break;
+    }
+  }
+  return tasks;
+}
+
+// Only for what would be late if it waited for its turn on the machines that are there, and
+// only as many as it takes to be in time, in as many waves as there is time for. What is late
+// already waits for its turn.
+int Core::RentalPlanner::WorthSteady(const Plan::Unplaced& unplaced, const MachineType& type,
+                                     int tasks) const {
+  const JobSpec& spec = *unplaced.spec;
+  const JobEntry* job = core_.FindJob(spec.id);
+  const Micros wait = spot_cpus_ <= 0 ? kNoEnd : FromSeconds(cpus_ahead_ / spot_cpus_);
+  const Micros latest = job == nullptr ? 0 : core_.LatestStart(job->record);
+  if (core_.WallNow(now_) + wait < latest) return 0;
+  const Micros time = latest - core_.WallNow(now_) - type.boot;
+  const Micros each = std::max<Micros>(kSecond, spec.estimate * 5 / 4);
+  const int waves = time < 0 ? kWavesWhenLate : static_cast<int>(1 + time / each);
+  auto run = core_.runs_.find(spec.id);
+  const int placed = run == core_.runs_.end() ? 0 : run->second.placed;
+  return std::min(tasks, (unplaced.tasks + placed + waves - 1) / waves - placed);
+}
+
+void Core::RentalPlanner::RentFor(const JobSpec& spec, const Offer& offer, bool spot, int tasks) {
+  const int per_machine = TasksThatFit(spec, offer.type->size);
+  int machines = (tasks + per_machine - 1) / per_machine;
+  if (spec.spread) machines = std::min(machines, SpreadLimit(spec));
+  Add(offer, spot, machines, spec.id);
+  for (int i = 0; i < machines; ++i) {
+    Amount free = offer.type->size;
+    for (int task = 0; task < per_machine && tasks > 0; ++task, --tasks) free -= spec.each;
+    coming_.push_back({offer.type->name, offer.zone, "", spot, free});
+    if (spot) spot_cpus_ += Cpus(offer.type->size.cpus);
+  }
+}
+
+void Core::RentalPlanner::AddSecondZone() {
+  if (!core_.spread_seen_ || plan_->headroom <= 0 || core_.settings_.zones.size() < 2) return;
+  std::map<std::string, int64_t> room;
+  for (const PlaceMachine& machine : plan_->machines) {
+    if (!machine.spot && machine.usable && machine.helps.empty()) {
+      room[machine.zone] += std::max<int64_t>(0, machine.free.cpus);
+    }
+  }
+  for (const Coming& coming : coming_) {
+    if (!coming.spot && coming.helps.empty()) room[coming.zone] += coming.free.cpus;
+  }
+  std::set<std::string> zones;
+  for (const auto& [zone, cpus] : room) {
+    if (cpus >= kZoneRoom) zones.insert(zone);
+  }
+  if (zones.size() >= 2) return;
+  JobSpec service;
+  service.id = "headroom";
+  service.tasks = 1;
+  service.spread = true;
+  service.each.cpus = kMilli;
+  JobSpread taken;
+  for (const std::string& zone : zones) taken.by_zone[zone] = 1;
+  Offer offer;
+  if (!core_.PickOffer(now_, service, taken, false, in_zone_, &offer)) return;
+  Add(offer, false, 1, "a second zone");
+  extra_free_ += offer.type->size.cpus;
+}
+
+int64_t Core::RentalPlanner::SteadyFree() const {
+  int64_t free = extra_free_;
+  for (const PlaceMachine& machine : plan_->machines) {
+    if (!machine.usable || !machine.helps.empty() || machine.spot) continue;
+    free += std::max<int64_t>(0, machine.free.cpus);
+  }
+  for (const Coming& coming : coming_) {
+    if (coming.helps.empty() && !coming.spot) free += coming.free.cpus;
+  }
+  return free;
+}
+
+void Core::RentalPlanner::AddHeadroom() {
+  const int64_t missing = plan_->headroom - SteadyFree();
+  if (missing <= 0) return;
+  JobSpec service;
+  service.each.cpus = kMilli;
+  Offer offer;
+  if (!core_.PickOffer(now_, service, JobSpread(), false, in_zone_, &offer)) return;
+  const int64_t size = offer.type->size.cpus;
+  Add(offer, false, static_cast<int>((missing + size - 1) / size), "headroom");
+}
+
+}  // namespace troutlink
