--- a/src/core/core.h
+++ b/src/core/core.h
@@ -578,13 +578,29 @@
   // The last moment at which the rest of a job may start and still be in time.
   Micros LatestStart(const JobRecord& record) const;
   std::vector<Micros> LatestStarts(const JobRecord& record) const;
-  bool LastOfZone(const Plan& plan, const PlaceMachine& m) const;
-  bool LastWithImage(const Plan& plan, const PlaceMachine& m) const;
+  bool LastOfZone(const Plan& plan, const PlaceMachine& machine) const;
+  bool LastWithImage(const Plan& plan, const PlaceMachine& machine) const;
+  class ClearingTargets;
   void Consolidate(Micros now, int shard_id, Plan* plan);
+  bool MayClear(Micros now, Shard* shard, const Plan& plan);
+  std::vector<PlaceMachine*> ClearingCandidates(Plan* plan) const;
+  bool ClearMachine(Micros now, int shard_id, Plan* plan, const PlaceMachine& machine,
+                    ClearingTargets* targets);
   void PlanJobMoves(Micros now, int shard_id, Plan* plan);
   uint64_t NextNumber(int shard_id, Plan* plan) const;
   void PlanAdoption(Micros now, int shard_id, Plan* plan);
+  // Free cpus while machines go back, and those that arrays keep.
+  struct FreeRoom {
+    int64_t steady = 0;
+    int64_t spot = 0;
+    int64_t kept_for_arrays = 0;
+  };
   void PlanReturns(Micros now, int shard_id, Plan* plan);
+  bool MayReturn(Micros now, const AssignedMachine& machine, PlaceMachine* place, Plan* plan,
+                 FreeRoom* room);
+  bool HelperWanted(const std::string& job, const Plan& plan) const;
+  static bool SpareSpot(const MachineType& type, const Plan& plan, FreeRoom* room);
+  bool SpareSteady(const MachineType& type, PlaceMachine* place, Plan* plan, FreeRoom* room) const;
   void AddRental(int shard_id, Plan* plan, const Offer& offer, bool spot, int count,
                  const std::string& helps, const std::string& reason);
 
--- a/src/core/returns.cc
+++ b/src/core/returns.cc
@@ -1,26 +1,44 @@
 // Which machines go back to the cloud, and which are cleared to go back.
 #include <algorithm>
+#include <optional>
 
 #include "core/core.h"
 #include "core/plan.h"
 
 namespace troutlink {
 
+namespace {
+constexpr Micros kUnhealthyIdle = 2 * kSecond;  // before an unhealthy machine goes back
+constexpr Micros kClearingPeriod = 500 * kMilli;
+// A replica that is stopped so soon counts as never started.
+constexpr Micros kReplicaSettled = 40 * kSecond;
+constexpr size_t kMachinesPerClearing = 20;  // steady ones, for each that is cleared at a time
+constexpr size_t kTriesPerClearing = 4;
+constexpr double kLeastPrice = 0.01;
+
+int64_t FreeCpus(const PlaceMachine& machine) { return std::max<int64_t>(0, machine.free.cpus); }
+
+int64_t UsedCpus(const PlaceMachine& machine) { return machine.size.cpus - machine.free.cpus; }
+
+// Steady machines that serve any work.
+bool OfSteadyPool(const PlaceMachine& machine) { return !machine.spot && machine.helps.empty(); }
+}  // namespace
+
 // Whether services that spread would miss this machine's zone.
-bool Core::LastOfZone(const Plan& plan, const PlaceMachine& m) const {
+bool Core::LastOfZone(const Plan& plan, const PlaceMachine& machine) const {
   if (!spread_seen_ || settings_.zones.size() < 2) return false;
-  std::map<std::string, int64_t> others = plan.index.RoomByZone(&m);
+  std::map<std::string, int64_t> others = plan.index.RoomByZone(&machine);
   int zones = 0;
-  for (const auto& [z, cpus] : others) zones += cpus >= kZoneRoom ? 1 : 0;
-  return zones < 2 && others[m.zone] < kZoneRoom;
+  for (const auto& [zone, cpus] : others) zones += cpus >= kZoneRoom ? 1 : 0;
+  return zones < 2 && others[machine.zone] < kZoneRoom;
 }
 
 // Whether without this machine too little room is left where some service's
 // image is.
-bool Core::LastWithImage(const Plan& plan, const PlaceMachine& m) const {
+bool Core::LastWithImage(const Plan& plan, const PlaceMachine& machine) const {
   const auto keep = static_cast<int64_t>(1000 * settings_.op.image_headroom_cpus());
-  const int64_t own = m.usable ? std::max<int64_t>(0, m.free.cpus) : 0;
-  for (int image : m.service_images) {
+  const int64_t own = machine.usable ? FreeCpus(machine) : 0;
+  for (int image : machine.service_images) {
     const PlaceIndex::ImageRoom& image_room = plan.index.with_image(image);
     if (image_room.free - own < keep) return true;
     if (!spread_seen_ || settings_.zones.size() < 2) continue;
@@ -28,9 +46,9 @@
     int zones = 0;
     bool here = false;
     for (const auto& [zone, cpus] : image_room.by_zone) {
-      bool room = cpus - (zone == m.zone ? own : 0) >= kZoneRoom;
-      zones += room ? 1 : 0;
-      here = here || (room && zone == m.zone);
+      const bool has_room = cpus - (zone == machine.zone ? own : 0) >= kZoneRoom;
+      zones += has_room ? 1 : 0;
+      here = here || (has_room && zone == machine.zone);
     }
     if (zones < 2 && !here) return true;
   }
@@ -38,161 +56,233 @@
 }
 
 void Core::PlanReturns(Micros now, int shard_id, Plan* plan) {
-  Shard& shard = shards_[static_cast<size_t>(shard_id)];
-  int64_t steady_free = 0, spot_free = 0;
-  for (const PlaceMachine& m : plan->machines) {
-    if (!m.usable || !m.helps.empty()) continue;
-    (m.spot ? spot_free : steady_free) += std::max<int64_t>(0, m.free.cpus);
+  FreeRoom room;
+  for (const PlaceMachine& machine : plan->machines) {
+    if (!machine.usable || !machine.helps.empty()) continue;
+    (machine.spot ? room.spot : room.steady) += FreeCpus(machine);
   }
-  const int64_t headroom = plan->headroom;
-  std::map<std::string, const PlaceMachine*> placed;
-  for (const PlaceMachine& m : plan->machines) placed[m.name] = &m;
-  const auto spare = static_cast<int64_t>(settings_.op.array_headroom_share() * shard.array_peak);
-  for (auto& [name, m] : plan->assignments.machines) {
-    if (m.leaving || !plan->MayChange(name)) continue;
-    auto it = machines_.find(name);
-    auto on = placed.find(name);
-    const MachineType* type = TypeOf(m.type);
-    if (it == machines_.end() || type == nullptr) continue;
-    MachineInfo& info = it->second;
-    if (info.give_up) {
-      m.leaving = true;
-      plan->Change(name);
-      plan->urgent = true;
-      continue;
-    }
-    if (!m.attempts.empty() || info.idle_since == 0) continue;
-    if (info.drain) {
-      m.leaving = true;
-      plan->Change(name);
-      plan->urgent = true;
-      continue;
+  room.kept_for_arrays =
+      static_cast<int64_t>(settings_.op.array_headroom_share() * ShardAt(shard_id).array_peak);
+  std::map<std::string, PlaceMachine*> places;
+  for (PlaceMachine& machine : plan->machines) places[machine.name] = &machine;
+  for (auto& [name, machine] : plan->assignments.machines) {
+    if (machine.leaving || !plan->MayChange(name)) continue;
+    auto place = places.find(name);
+    PlaceMachine* found = place == places.end() ? nullptr : place->second;
+    if (!MayReturn(now, machine, found, plan, &room)) continue;
+    machine.leaving = true;
+    plan->Change(name);
+    plan->urgent = true;
+  }
+}
+
+// Whether a machine goes back now. `place` is the machine in the plan, if it is there.
+bool Core::MayReturn(Micros now, const AssignedMachine& machine, PlaceMachine* place, Plan* plan,
+                     FreeRoom* room) {
+  auto known = machines_.find(machine.name);
+  const MachineType* type = TypeOf(machine.type);
+  if (known == machines_.end() || type == nullptr) return false;
+  const MachineInfo& info = known->second;
+  if (info.give_up) return true;
+  if (!machine.attempts.empty() || info.idle_since == 0) return false;
+  if (info.drain) return true;
+  if (!machine.helps.empty()) return !HelperWanted(machine.helps, *plan);
+  const Micros idle = now - info.idle_since;
+  if (health_.Unhealthy(machine.name) && idle > kUnhealthyIdle) return true;
+  const double boot = static_cast<double>(type->boot);
+  if (idle <= static_cast<Micros>(settings_.op.idle_return_boots() * boot)) return false;
+  return machine.spot ? SpareSpot(*type, *plan, room) : SpareSteady(*type, place, plan, room);
+}
+
+// A helper without a task goes back at once, as soon as none waits for it.
+bool Core::HelperWanted(const std::string& job, const Plan& plan) const {
+  auto run = runs_.find(job);
+  auto help = plan.assignments.helps.find(job);
+  return run != runs_.end() && help != plan.assignments.helps.end() && help->second.credit > 0 &&
+         run->second.done + run->second.placed < static_cast<int>(run->second.tasks.size());
+}
+
+// Whether arrays keep enough room without a spot machine of this type.
+bool Core::SpareSpot(const MachineType& type, const Plan& plan, FreeRoom* room) {
+  const int64_t steady = std::max<int64_t>(0, room->steady - plan.headroom);
+  if (room->spot + steady - type.size.cpus < room->kept_for_arrays) return false;
+  room->spot -= type.size.cpus;
+  return true;
+}
+
+// The same of a steady machine; services keep theirs too.
+bool Core::SpareSteady(const MachineType& type, PlaceMachine* place, Plan* plan,
+                       FreeRoom* room) const {
+  if (place == nullptr || LastOfZone(*plan, *place) || LastWithImage(*plan, *place)) return false;
+  const int64_t kept = plan->headroom + std::max<int64_t>(0, room->kept_for_arrays - room->spot);
+  if (room->steady - type.size.cpus < kept) return false;
+  room->steady -= type.size.cpus;
+  // The next one is judged without it.
+  plan->index.Remove(*place);
+  place->usable = false;
+  return true;
+}
+
+// Where the replicas of machines that are cleared may go: usable steady machines.
+class Core::ClearingTargets {
+ public:
+  explicit ClearingTargets(const Plan& plan) {
+    std::set<std::string> images;
+    for (const PlaceMachine& machine : plan.machines) {
+      if (!machine.usable || machine.spot) continue;
+      machines_.push_back(machine);
+      if (machine.cached == nullptr) continue;
+      for (const auto& [image, used] : *machine.cached) images.insert(image);
     }
-    if (!m.helps.empty()) {
-      // A helper without a task goes back at once, as soon as none waits for it.
-      JobRun* run = RunOf(m.helps);
-      auto help = plan->assignments.helps.find(m.helps);
-      bool wanted = run != nullptr && help != plan->assignments.helps.end() &&
-                    help->second.credit > 0 &&
-                    run->done + run->placed < static_cast<int>(run->tasks.size());
-      if (!wanted) m.leaving = true;
-    } else if (health_.Unhealthy(name) && now - info.idle_since > 2 * kSecond) {
-      m.leaving = true;
-    } else if (now - info.idle_since > static_cast<Micros>(settings_.op.idle_return_boots() *
-                                                           static_cast<double>(type->boot))) {
-      if (m.spot) {
-        if (spot_free + std::max<int64_t>(0, steady_free - headroom) - type->size.cpus >= spare) {
-          spot_free -= type->size.cpus;
-          m.leaving = true;
-        }
-      } else if (on != placed.end() && !LastOfZone(*plan, *on->second) &&
-                 !LastWithImage(*plan, *on->second) &&
-                 steady_free - type->size.cpus >=
-                     headroom + std::max<int64_t>(0, spare - spot_free)) {
-        steady_free -= type->size.cpus;
-        m.leaving = true;
-        // The next one is judged without it.
-        for (PlaceMachine& gone : plan->machines) {
-          if (gone.name != name) continue;
-          plan->index.Remove(gone);
-          gone.usable = false;
-        }
-      }
+    index_ = PlaceIndex(images, &machines_);
+  }
+
+  // Whether replicas may go to this machine.
+  void SetUsable(const std::string& name, bool usable) {
+    for (PlaceMachine& machine : machines_) {
+      if (machine.name == name) machine.usable = usable;
     }
-    if (m.leaving) {
-      plan->Change(name);
-      plan->urgent = true;
+  }
+
+  // Takes room for a replica that leaves its zone's machine; false: there is none that has its
+  // image.
+  bool Reserve(const JobSpec& spec, JobSpread spread, const std::string& zone) {
+    --spread.by_zone[zone];
+    PlaceRequest request;
+    request.spec = &spec;
+    request.spread = &spread;
+    const int chosen = ChooseMachine(request, machines_, index_);
+    if (chosen < 0) return false;
+    PlaceMachine& target = machines_[static_cast<size_t>(chosen)];
+    if (!spec.image.empty() && !target.Cached(spec.image)) return false;
+    target.free -= spec.each;
+    target.AddTasks(spec.id, 1);
+    reserved_.push_back({&target, &spec});
+    return true;
+  }
+
+  // Keeps what was reserved since the last call, or gives it back.
+  void Settle(bool keep) {
+    for (const Reservation& reservation : reserved_) {
+      if (keep) break;
+      reservation.target->free += reservation.spec->each;
+      reservation.target->AddTasks(reservation.spec->id, -1);
     }
+    reserved_.clear();
   }
-}
+
+ private:
+  struct Reservation {
+    PlaceMachine* target;
+    const JobSpec* spec;
+  };
+  std::vector<PlaceMachine> machines_;
+  PlaceIndex index_;
+  std::vector<Reservation> reserved_;
+};
 
 // Replicas come and go, and leave machines with one or two on each. When the
-// others have room for them and still keep the headroom, the emptiest machine
-// is cleared, replica by replica, and given back. A replica only moves to a
+// others have room for them and still keep the headroom, the emptiest machines
+// are cleared, replica by replica, and given back. A replica only moves to a
 // machine that has its image: it is away for some ten milliseconds.
 void Core::Consolidate(Micros now, int shard_id, Plan* plan) {
-  Shard& shard = shards_[static_cast<size_t>(shard_id)];
-  if (!plan->unplaced.empty() || !plan->assignments.rentals.empty()) {
-    shard.calm_since = now;
-    for (const auto& [name, m] : plan->assignments.machines) machines_[name].drain = false;
-    return;
+  if (!MayClear(now, &ShardAt(shard_id), *plan)) return;
+  ClearingTargets targets(*plan);
+  int64_t free = 0;  // on steady machines, once those being cleared are empty
+  size_t pool = 0, clearing = 0, tries = 0;
+  for (const PlaceMachine& machine : plan->machines) {
+    if (!OfSteadyPool(machine)) continue;
+    ++pool;
+    if (machine.usable) free += FreeCpus(machine);
+    if (!machines_[machine.name].drain || UsedCpus(machine) <= 0) continue;
+    ClearMachine(now, shard_id, plan, machine, &targets);
+    free -= UsedCpus(machine);
+    ++clearing;
   }
-  if (shard.calm_since == 0) shard.calm_since = now;
-  if (now < shard.consolidate_at ||
-      now - shard.calm_since < FromSeconds(settings_.op.consolidate_after_s()))
-    return;
-  shard.consolidate_at = now + 500 * kMilli;
-  int64_t steady_free = 0;
-  for (const PlaceMachine& m : plan->machines) {
-    if (m.usable && !m.spot && m.helps.empty()) {
-      steady_free += std::max<int64_t>(0, m.free.cpus);
-    }
+  const size_t most = 1 + pool / kMachinesPerClearing;
+  for (PlaceMachine* machine : ClearingCandidates(plan)) {
+    if (clearing >= most || tries >= kTriesPerClearing * most) return;
+    if (free - machine->size.cpus < plan->headroom) continue;
+    if (LastOfZone(*plan, *machine) || LastWithImage(*plan, *machine)) continue;
+    ++tries;
+    // One that cannot be cleared, as an image is nowhere else, once held up all others.
+    if (!ClearMachine(now, shard_id, plan, *machine, &targets)) continue;
+    ++clearing;
+    free -= machine->size.cpus;
+    // The next one is judged without it.
+    plan->index.Remove(*machine);
+    machine->usable = false;
   }
-  const int64_t headroom = plan->headroom;
-  // The one being cleared goes first, else the one with least on it.
-  const PlaceMachine* best = nullptr;
-  int64_t best_used = 0;
-  for (const PlaceMachine& m : plan->machines) {
-    const MachineInfo& info = machines_[m.name];
-    if (m.spot || !m.helps.empty() || (!m.usable && !info.drain)) continue;
-    int64_t used = m.size.cpus - m.free.cpus;
-    const MachineType* type = TypeOf(m.type);
-    if (type == nullptr) continue;
-    if (used <= 0 || (!info.drain && 2 * used > m.size.cpus)) continue;
-    if (!info.drain && (LastOfZone(*plan, m) || LastWithImage(*plan, m))) continue;
-    if (!info.drain && steady_free - m.free.cpus - used < headroom) continue;
-    // What it saves for each cpu that moves.
-    used =
-        info.drain
-            ? -1
-            : static_cast<int64_t>(static_cast<double>(used) * 100 / std::max(0.01, type->price));
-    if (best == nullptr || used < best_used) {
-      best = &m;
-      best_used = used;
-    }
+}
+
+// Only in a calm, and not in every round. What waits may use what is being cleared.
+bool Core::MayClear(Micros now, Shard* shard, const Plan& plan) {
+  if (!plan.unplaced.empty() || !plan.assignments.rentals.empty()) {
+    shard->calm_since = now;
+    for (const auto& [name, machine] : plan.assignments.machines) machines_[name].drain = false;
+    return false;
   }
-  if (best == nullptr) return;
-  // All of it must have a place elsewhere.
-  std::vector<PlaceMachine> others;
-  for (const PlaceMachine& m : plan->machines) {
-    if (m.name != best->name && m.usable && !m.spot) others.push_back(m);
+  if (shard->calm_since == 0) shard->calm_since = now;
+  if (now < shard->consolidate_at ||
+      now - shard->calm_since < FromSeconds(settings_.op.consolidate_after_s())) {
+    return false;
   }
-  std::set<std::string> images;
-  for (const PlaceMachine& m : others) {
-    if (m.cached == nullptr) continue;
-    for (const auto& [image, used] : *m.cached) images.insert(image);
+  shard->consolidate_at = now + kClearingPeriod;
+  return true;
+}
+
+// Steady machines that are at most half used; first those that save most for each cpu that
+// moves.
+std::vector<PlaceMachine*> Core::ClearingCandidates(Plan* plan) const {
+  std::vector<std::pair<double, PlaceMachine*>> by_cost;
+  for (PlaceMachine& machine : plan->machines) {
+    const MachineType* type = TypeOf(machine.type);
+    if (type == nullptr || !OfSteadyPool(machine) || !machine.usable) continue;
+    const int64_t used = UsedCpus(machine);
+    if (used <= 0 || 2 * used > machine.size.cpus) continue;
+    by_cost.emplace_back(static_cast<double>(used) / std::max(kLeastPrice, type->price), &machine);
   }
-  PlaceIndex index(images, &others);
-  std::vector<std::pair<Attempt, AttemptInfo*>> moves;
+  std::stable_sort(by_cost.begin(), by_cost.end(),
+                   [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<PlaceMachine*> candidates;
+  candidates.reserve(by_cost.size());
+  for (const auto& [cost, machine] : by_cost) candidates.push_back(machine);
+  return candidates;
+}
+
+// Stops one replica of the machine; false: not all of them have a place elsewhere.
+bool Core::ClearMachine(Micros now, int shard_id, Plan* plan, const PlaceMachine& machine,
+                        ClearingTargets* targets) {
+  targets->SetUsable(machine.name, false);
+  std::optional<Attempt> first;
   bool settled = true;
-  for (const Attempt& a : plan->assignments.machines[best->name].attempts) {
-    auto at = attempts_.find(a);
-    const JobEntry* job = FindJob(a.job);
-    if (at == attempts_.end() || job == nullptr) return;
-    if (at->second.stopping) settled = false;
+  bool possible = true;
+  for (const Attempt& attempt : plan->assignments.machines[machine.name].attempts) {
+    auto known = attempts_.find(attempt);
+    const JobEntry* job = FindJob(attempt.job);
+    possible = known != attempts_.end() && job != nullptr;
+    if (!possible) break;
+    const AttemptInfo& info = known->second;
+    if (info.stopping) settled = false;
+    if (info.gone || info.stopping || job->record.state != JobState::kOpen) continue;
     const JobSpec& spec = job->record.spec;
-    if (at->second.gone || job->record.state != JobState::kOpen || at->second.stopping) continue;
-    if (spec.kind != JobKind::kService) return;  // will be over by itself
-    // A start that is stopped soon was no start.
-    if (at->second.running_at == 0 || now - at->second.running_at < 40 * kSecond) return;
-    JobSpread spread = plan->SpreadOf(spec);
-    --spread.by_zone[best->zone];
-    PlaceRequest request;
-    request.spec = &spec;
-    request.spread = &spread;
-    int to = ChooseMachine(request, others, index);
-    if (to < 0) return;
-    PlaceMachine& target = others[static_cast<size_t>(to)];
-    if (!spec.image.empty() && !target.Cached(spec.image)) return;
-    target.free -= spec.each;
-    target.AddTasks(spec.id, 1);
-    moves.emplace_back(a, &at->second);
+    possible = spec.kind == JobKind::kService &&  // others will be over by themselves
+               info.running_at != 0 && now - info.running_at >= kReplicaSettled &&
+               targets->Reserve(spec, plan->SpreadOf(spec), machine.zone);
+    if (!possible) break;
+    if (!first) first = attempt;
+  }
+  targets->Settle(possible);
+  if (!possible) {
+    targets->SetUsable(machine.name, true);
+    return false;
   }
-  machines_[best->name].drain = true;
-  if (!settled || moves.empty()) return;
+  machines_[machine.name].drain = true;
+  if (!settled || !first) return true;
   ++counters_.consolidated;
-  StopAttempt(now, moves.front().first, moves.front().second, 0);
-  Push(now, shard_id, best->name);
+  StopAttempt(now, *first, &attempts_.at(*first), 0);
+  Push(now, shard_id, machine.name);
+  return true;
 }
 
 }  // namespace troutlink
