--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -11,7 +11,6 @@
 
 namespace {
 constexpr double kShareOfLimits = 0.9;
-constexpr Micros kStoodStill = 3 * kSecond;
 
 bool IsAbort(const Request& request) {
   std::optional<wire::JobPath> path = wire::ParseJobPath(request.target);
@@ -202,13 +201,15 @@
 
 Outbox Core::Tick(Micros now, Micros wall) {
   wall_offset_ = wall - now;
-  if (now_ != 0 && now - now_ > kStoodStill) {
+  if (StoodStill(now)) {
     // We stood still: that nothing was heard meanwhile says nothing of the machines.
     Log(LogLine::Level::kInfo, "stood still for " + std::to_string((now - now_) / kMilli) + " ms");
     for (auto& [name, info] : machines_) {
       if (info.since != 0) info.since = now;
     }
+    unwell_at_ = now;
   }
+  if (!StateFresh(now)) unwell_at_ = now;
   switch (feed_.Due(now)) {
     case ReplicaFeed::Step::kList: StartList(now); break;
     case ReplicaFeed::Step::kWatch: StartWatch(now); break;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -195,7 +195,7 @@
   void TellEpochs(mesh::Heartbeat* heartbeat) const;
   void TellSilentMachines(Micros now, mesh::Heartbeat* heartbeat) const;
   void TellCachedImages(mesh::Heartbeat* heartbeat) const;
-  // Another leads our own shard, and we are well enough to lead it ourselves.
+  // Another leads our own shard, and we have been well for long enough to lead it ourselves.
   bool WantsOwnShard(Micros now) const;
   void HandlePing(Micros now, const std::string& from, const mesh::Ping& ping);
   void HandleHeartbeat(Micros now, const std::string& from, const mesh::Heartbeat& heartbeat);
@@ -228,6 +228,10 @@
   void HandBack(Micros now, int shard_id);
   std::string LeaderLabel(int shard_id) const;
   bool StateFresh(Micros now) const { return now - state_ok_ < 1500 * kMilli; }
+  // Whether this process has just stood still, and has not ticked since. What had arrived for
+  // it meanwhile may be handled before that tick.
+  bool StoodStill(Micros now) const { return now_ != 0 && now - now_ > kStoodStill; }
+  static constexpr Micros kStoodStill = 3 * kSecond;
   bool Up(Micros now) const;
 
   // --- users' API (submissions.cc, queries.cc, forwarding.cc) ----------------------
@@ -491,6 +495,7 @@
     int hint = 0;  // no waiting task before this one
     std::vector<Micros> durations;
     std::set<int> moved;             // tasks that were moved to steady machines once
+    Micros last_start = 0;           // of a task, or when the job came to this leader
     Micros unplaced_since = 0;       // waits without a machine since then
     Micros move_at = 0;              // when it may look for another shard again
     std::map<int, int> preemptions;  // how often a task was stopped for other work
@@ -521,7 +526,11 @@
   std::map<std::string, Share> UseEverywhere(int shard_id, const Plan& plan) const;
   std::vector<Waiting> CollectWaiting(Micros now, int shard_id, const Plan& plan);
   static void NoteArrayPeak(Micros now, Shard* shard, double array_cpus);
-  void OrderWaiting(Micros now, const Plan& plan, std::vector<Waiting>* waiting) const;
+  std::map<std::string, double> TeamCapacities(int shard_id, const Plan& plan) const;
+  static void PutOffJobs(Micros wall, double capacity, double ahead,
+                         const std::vector<Waiting*>& jobs);
+  void OrderWaiting(Micros now, int shard_id, const Plan& plan,
+                    std::vector<Waiting>* waiting) const;
   void Round(Micros now, int shard_id);
   void LogShardState(int shard_id, const Plan& plan);
   struct Offer {
@@ -673,6 +682,9 @@
   };
   std::map<std::string, Peer> peers_;
   Micros now_ = 0;  // of the last tick
+  // The last time without the state service, also by standing still. A node that froze twice
+  // had its shard back within half a second each time: four changes of leader for two.
+  Micros unwell_at_ = 0;
   uint64_t ping_seq_;
   Micros next_heartbeat_ = 0;
   Micros next_cached_images_ = 0;
--- a/src/core/heartbeats.cc
+++ b/src/core/heartbeats.cc
@@ -84,7 +84,8 @@
 bool Core::WantsOwnShard(Micros now) const {
   const Shard& own = ShardAt(settings_.own_shard);
   return feed_.synced() && !own.is_leader && own.leadership_version != 0 && StateFresh(now) &&
-         now - started_ > FromSeconds(settings_.op.hand_back_after_s());
+         !StoodStill(now) &&
+         now - std::max(started_, unwell_at_) > FromSeconds(settings_.op.hand_back_after_s());
 }
 
 void Core::HandlePing(Micros now, const std::string& from, const mesh::Ping& ping) {
--- a/src/core/placing.cc
+++ b/src/core/placing.cc
@@ -15,7 +15,8 @@
 constexpr Micros kGuaranteePatience = 300 * kMilli;  // the same within its team's guarantee
 constexpr int kMaxPreemptions = 32;                  // jobs that others make way for in one round
 constexpr int64_t kLendBelow = 10;                   // steady cpus for each that is kept free
-constexpr int kMovesOfService = 2;                   // between shards, before it starts in parts
+constexpr Micros kKeptQuotaPatience = 20 * kSecond;
+constexpr int kMovesOfService = 2;  // between shards, before it starts in parts
 constexpr size_t kMachinesPerReservation = 20;
 }  // namespace
 
@@ -117,6 +118,7 @@
 
   Job Begin(const Waiting& waiting);
   bool MustStartWhole(const Waiting& waiting) const;
+  bool MayUseKeptQuota(const Waiting& waiting) const;
   void PlaceTasks(Job* job);
   // Whether the team's limit allows one more task, if need be by quota of other shards.
   bool WithinQuota(Job* job);
@@ -158,10 +160,21 @@
          (run.unplaced_since == 0 || now_ - run.unplaced_since < kWholePatience);
 }
 
+// What a team keeps of its limit for its services may serve one task of an array that has
+// waited for long: three shards that each kept some left a task without a place for minutes,
+// while the team was under its limit and machines were free.
+bool Core::Placer::MayUseKeptQuota(const Waiting& waiting) const {
+  const JobRun& run = *waiting.run;
+  if (waiting.spec->kind != JobKind::kArray) return false;
+  const bool begun = run.done + run.placed > 0;
+  const Micros waited = begun ? now_ - run.last_start : core_.WallNow(now_) - waiting.submitted;
+  return waited >= kKeptQuotaPatience;
+}
+
 Core::Placer::Job Core::Placer::Begin(const Waiting& waiting) {
   const JobSpec& spec = *waiting.spec;
   Job job(waiting, *core_.FindTeam(spec.team));
-  job.kept = core_.KeptForServices(spec, job.team);
+  if (!MayUseKeptQuota(waiting)) job.kept = core_.KeptForServices(spec, job.team);
   job.gang = spec.kind == JobKind::kGang;
   job.whole = MustStartWhole(waiting);
   job.request.spec = &spec;
@@ -286,6 +299,8 @@
     plan_.assignments.helps[spec.id].credit -=
         static_cast<double>(spec.each.cpus) / 1000.0 * ToSeconds(spec.estimate) / 3600.0;
   }
+  job->waiting.run->last_start = now_;
+  job->kept = core_.KeptForServices(spec, job->team);
   ++started_;
   --job->left;
   if (!job->whole) job->waiting.run->unplaced_since = 0;
@@ -341,7 +356,7 @@
 
 void Core::PlanPlacement(Micros now, int shard_id, Plan* plan) {
   std::vector<Waiting> waiting = CollectWaiting(now, shard_id, *plan);
-  OrderWaiting(now, *plan, &waiting);
+  OrderWaiting(now, shard_id, *plan, &waiting);
   Placer placer(this, now, shard_id, plan);
   for (const Waiting& job : waiting) {
     if (placer.Full()) break;
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -28,6 +28,7 @@
   if (runs_.count(id) != 0) return;
   JobRun& run = runs_[id];
   run.shard_id = shard_id;
+  run.last_start = now_;
   Shard& shard = shards_[static_cast<size_t>(shard_id)];
   if (entry.record.spec.priority == Priority::kProduction && shard.conflicts == 0) {
     shard.not_before = std::min(shard.not_before, shard.round_at + RoundPace(shard) / kHurry);
--- a/src/core/waiting.cc
+++ b/src/core/waiting.cc
@@ -5,13 +5,15 @@
 #include "core/core.h"
 #include "core/order.h"
 #include "core/plan.h"
+#include "core/quota.h"
 
 namespace troutlink {
 
 namespace {
 // A job that waited too long without a start counts as at least so important.
 constexpr Priority kAgedRank = Priority::kHigh;
-constexpr double kPeakFades = 60;  // seconds
+constexpr double kPeakFades = 60;           // seconds
+constexpr Micros kNoLimit = 600 * kSecond;  // of work that nobody waits for by a certain time
 }  // namespace
 
 // By the deadline, and by what the objectives expect of the class; earliest first.
@@ -30,7 +32,7 @@
                     spec.estimate);
     }
   }
-  if (out.empty()) out.push_back(600 * kSecond);
+  if (out.empty()) out.push_back(kNoLimit);
   std::sort(out.begin(), out.end());
   out.erase(std::unique(out.begin(), out.end()), out.end());
   for (Micros& at : out) at += record.submitted;
@@ -108,10 +110,40 @@
   shard->array_peak = faded;
 }
 
+// What each team's limit leaves to its arrays in this shard, in cpus; teams without a limit
+// are left out.
+std::map<std::string, double> Core::TeamCapacities(int shard_id, const Plan& plan) const {
+  std::map<std::string, double> capacities;
+  for (const Team& team : settings_.teams) {
+    if (team.cpus_max <= 0) continue;
+    const Share share = ShareOf(plan.assignments, team, shard_id, settings_.shard_count());
+    capacities[team.name] = static_cast<double>(share.cpus) / 1000;
+  }
+  for (const auto& [id, run] : runs_) {
+    const JobEntry* job = run.shard_id == shard_id && run.placed > 0 ? FindJob(id) : nullptr;
+    if (job == nullptr || job->record.spec.kind != JobKind::kService) continue;
+    auto capacity = capacities.find(job->record.spec.team);
+    if (capacity == capacities.end()) continue;
+    capacity->second -= static_cast<double>(run.placed * job->record.spec.each.cpus) / 1000;
+  }
+  return capacities;
+}
+
+// Puts off what costs most to its next aim until the rest can be in time.
+void Core::PutOffJobs(Micros wall, double capacity, double ahead,
+                      const std::vector<Waiting*>& jobs) {
+  std::vector<OrderItem> items;
+  items.reserve(jobs.size());
+  for (const Waiting* job : jobs) items.push_back({&job->limits, job->work, job->tier});
+  PutOff(wall, capacity, ahead, &items);
+  for (size_t i = 0; i < jobs.size(); ++i) jobs[i]->tier = items[i].tier;
+}
+
 // Most urgent first, as long as all can be in time. When they cannot, what costs
 // most is put off until its next aim, so that as many as possible are (Moore and
 // Hodgson). Late ones come last, in the order of their coming.
-void Core::OrderWaiting(Micros now, const Plan& plan, std::vector<Waiting>* waiting) const {
+void Core::OrderWaiting(Micros now, int shard_id, const Plan& plan,
+                        std::vector<Waiting>* waiting) const {
   double capacity = 0;
   for (const PlaceMachine& m : plan.machines) {
     capacity += static_cast<double>(std::max<int64_t>(0, m.free.cpus) + m.preemptible.cpus) / 1000;
@@ -128,17 +160,31 @@
     return a.spec->id < b.spec->id;
   };
   std::sort(waiting->begin(), waiting->end(), before);
+  const std::map<std::string, double> team_capacity = TeamCapacities(shard_id, plan);
+  std::map<std::string, double> team_ahead;
   double ahead = 0;  // cpu seconds of what comes first
   for (auto from = waiting->begin(); capacity > 0 && from != waiting->end();) {
     auto to = std::find_if(from, waiting->end(),
                            [&](const Waiting& w) { return group(w) != group(*from); });
     if (from->spec->kind != JobKind::kService && !from->aged) {
-      std::vector<OrderItem> items;
-      for (auto w = from; w != to; ++w) items.push_back({&w->limits, w->work, w->tier});
-      PutOff(WallNow(now), capacity, ahead, &items);
-      for (auto w = from; w != to; ++w) w->tier = items[static_cast<size_t>(w - from)].tier;
+      std::map<std::string, std::vector<Waiting*>> by_team;
+      std::vector<Waiting*> all;
+      for (auto w = from; w != to; ++w) {
+        by_team[w->spec->team].push_back(&*w);
+        all.push_back(&*w);
+      }
+      // A team at its limit has more to do than it can, however many machines are free.
+      for (const auto& [team, jobs] : by_team) {
+        auto limit = team_capacity.find(team);
+        if (limit == team_capacity.end()) continue;
+        PutOffJobs(WallNow(now), limit->second, team_ahead[team], jobs);
+      }
+      PutOffJobs(WallNow(now), capacity, ahead, all);
+    }
+    for (; from != to; ++from) {
+      ahead += from->work;
+      team_ahead[from->spec->team] += from->work;
     }
-    for (; from != to; ++from) ahead += from->work;
   }
   std::sort(waiting->begin(), waiting->end(), before);
 }
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -285,5 +285,20 @@
   }
 }
 
+TEST(Leadership, ANodeThatStoodStillIsWellForAWhileBeforeItLeadsAgain) {
+  World w;
+  w.Run(20 * kSecond);
+  ASSERT_EQ(w.LeaderOf(0), 0);
+  w.Freeze(0);
+  ASSERT_TRUE(
+      w.Until([&] { return w.core(1).IsLeader(0) || w.core(2).IsLeader(0); }, 10 * kSecond));
+  w.Run(5 * kSecond);
+  w.Thaw(0);
+  w.Run(10 * kSecond);
+  EXPECT_NE(w.LeaderOf(0), 0);
+  EXPECT_TRUE(w.Until([&] { return w.LeaderOf(0) == 0; }, 10 * kSecond));
+  EXPECT_KEPT(w);
+}
+
 }  // namespace
 }  // namespace troutlink::test
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -27,6 +27,21 @@
   EXPECT_KEPT(w);
 }
 
+TEST(Scheduling, WhatATeamKeepsForItsServicesLeavesNoTaskWithoutAPlaceForLong) {
+  // Three shards keep 4 cpus of the limit each, so the last task that it allows fits in none.
+  World w(3, [](Json* facts) { (*facts)["teams"][1]["cpus_max"] = 40.0; });
+  w.Run(kReady);
+  w.run_time["job-1"] = 600 * kSecond;
+  w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(World::Service("job-5", 4)));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-5") == 4; }, 40 * kSecond));
+  JobSpec wide = World::Array("job-1", 12);
+  wide.each = {8000, 0, 8000};
+  w.AskUntil(1, "POST", "/api/jobs", wire::EncodeSubmission(wide));
+  // 8 cpus of services and 4 tasks of 8 cpus are the limit.
+  EXPECT_TRUE(w.Until([&] { return w.OnMachines("job-1") == 4; }, 75 * kSecond));
+  EXPECT_KEPT(w);
+}
+
 TEST(Scheduling, AGangStartsWholeWithOneAttempt) {
   World w;
   w.run_time["job-9"] = 4 * kSecond;
