--- a/src/core/core.h
+++ b/src/core/core.h
@@ -623,6 +623,21 @@
   void SendReturns(Micros now, int shard_id);
   std::set<std::string> ZonesCutOff(Micros now) const;
   void JudgeMachines(Micros now, int shard_id);
+  struct SilenceOfShard {
+    bool hears_nobody = false;
+    bool heard_few_lately = false;  // most machines were silent within the last lease
+    std::set<std::string> zones_cut_off;
+  };
+  SilenceOfShard JudgeSilence(Micros now, int shard_id);
+  static Micros SilentFor(Micros now, const MachineInfo& info);
+  Micros Patience(const AssignedMachine& machine, const SilenceOfShard& silence) const;
+  bool IsLost(Micros now, const AssignedMachine& machine, const MachineInfo& info,
+              const SilenceOfShard& silence) const;
+  void GiveUp(Micros now, int shard_id, const AssignedMachine& machine, MachineInfo* info);
+  void LeaveMachine(Micros now, int shard_id, const AssignedMachine& machine,
+                    const MachineInfo& info);
+  void JudgeIdle(Micros now, const AssignedMachine& machine, MachineInfo* info) const;
+  bool RepeatStops(Micros now, const AssignedMachine& machine, const MachineInfo& info);
   const MachineType* TypeOf(const std::string& name) const;
   // The cheapest type and zone of a kind that fits `each` and is not paused.
   bool PickOffer(Micros now, const JobSpec& spec, const JobSpread& spread, bool spot,
--- a/src/core/silence.cc
+++ b/src/core/silence.cc
@@ -7,6 +7,10 @@
 
 namespace {
 constexpr Micros kReturnTakes = kSecond;  // from the decision to the cloud's answer
+constexpr int kDeafCancels = 4;           // times `cancel_s`, when no machine is heard
+constexpr Micros kCancelSlack = 300 * kMilli;
+constexpr Micros kBootSlack = 10 * kSecond;
+constexpr Micros kFirstReportSlack = 5 * kSecond;
 }  // namespace
 
 // Zones that are cut off from us as a whole: neither the peers in them nor
@@ -42,98 +46,145 @@
 
 // Finds machines that are lost, idle or about to be taken.
 void Core::JudgeMachines(Micros now, int shard_id) {
-  Shard& shard = shards_[static_cast<size_t>(shard_id)];
-  int total = 0, silent_ones = 0;
-  for (const auto& [name, m] : shard.assignments.machines) {
+  const SilenceOfShard silence = JudgeSilence(now, shard_id);
+  for (const auto& [name, machine] : ShardAt(shard_id).assignments.machines) {
+    MachineInfo& info = machines_[name];
+    if (info.since == 0) info.since = now;
+    if (!info.give_up && !machine.leaving && IsLost(now, machine, info, silence)) {
+      GiveUp(now, shard_id, machine, &info);
+    }
+    const bool stops_due = RepeatStops(now, machine, info);
+    LeaveMachine(now, shard_id, machine, info);
+    JudgeIdle(now, machine, &info);
+    // Whatever waits for a direct command that could not be sent before.
+    if (stops_due || info.probe || info.token_seen < TokenOf(shard_id, info) ||
+        info.required_token > info.token_seen) {
+      Push(now, shard_id, name);
+    }
+  }
+}
+
+// What the silence of a shard's machines as a whole says.
+Core::SilenceOfShard Core::JudgeSilence(Micros now, int shard_id) {
+  Shard& shard = ShardAt(shard_id);
+  int total = 0, silent = 0;
+  for (const auto& [name, machine] : shard.assignments.machines) {
     const MachineInfo& info = machines_[name];
     if (info.first_heard == 0 || info.missing || info.failed) continue;
     ++total;
-    if (now - std::max(info.heard, info.since) > 3 * settings_.report) ++silent_ones;
+    if (SilentFor(now, info) > 3 * settings_.report) ++silent;
   }
-  some_silent_ = some_silent_ || silent_ones > 0;
-  shard.silent = silent_ones;
-  // Without the state service no machine is given up: it may be we who are cut off.
-  const bool without_state = !StateFresh(now);
+  some_silent_ = some_silent_ || silent > 0;
+  shard.silent = silent;
   // When most fall silent at once, it is rather we who cannot hear, all the more when
   // none is heard.
-  const bool hears_few = total >= 3 && silent_ones * 10 > total * 6;
+  const bool hears_few = total >= 3 && silent * 10 > total * 6;
   if (hears_few) shard.heard_few_at = now;
+  SilenceOfShard silence;
+  silence.hears_nobody = hears_few && silent * 20 > total * 19;
   // When the first machines are heard again, the others are on their way: a leader that had
   // lost all its workers for 11 s gave up those that were not among the first 40% to be back.
-  const bool heard_few_lately =
-      shard.heard_few_at != 0 && now - shard.heard_few_at < settings_.lease;
-  const bool hears_nobody = hears_few && silent_ones * 20 > total * 19;
-  const std::set<std::string> cut = ZonesCutOff(now);
-  for (const auto& [name, m] : shard.assignments.machines) {
-    MachineInfo& info = machines_[name];
-    const MachineType* type = TypeOf(m.type);
-    if (info.since == 0) info.since = now;
-    Micros silent = now - std::max(info.heard, info.since);
-    bool lost = info.failed;
-    if (info.missing && silent > 3 * settings_.report / 2) lost = true;
-    // By the time that the cloud has it back it has ended its tasks itself.
-    // In a zone that is cut off, a peer may be keeping leases alive, for as long
-    // as no cancel can be overrun. When we seem to be deaf we wait as long, but not
-    // for ever. Not longer either: a zone that was away for 60 s had its replicas
-    // missed for a third of that time (see docs/rounds.md).
-    const bool kept = heard_few_lately || cut.count(m.zone) != 0;
-    Micros patience = hears_nobody ? 4 * settings_.cancel
-                      : kept       ? Longest(settings_.cancel) + 300 * kMilli
-                                   : settings_.lease - std::min(settings_.lease / 20, kReturnTakes);
-    if (info.first_heard != 0 && silent > patience) lost = true;
-    if (info.first_heard == 0 && type != nullptr) {
-      Micros boot =
-          static_cast<Micros>(settings_.op.boot_patience() * static_cast<double>(type->boot));
-      if (silent > boot + 10 * kSecond) lost = true;
-      if (info.listed_running && !m.attempts.empty() && silent > patience + 5 * kSecond) {
-        lost = true;
-      }
-    }
-    if (lost && !without_state && !info.give_up && !m.leaving) {
-      info.give_up = true;
-      if (info.first_heard == 0) offers_.NeverCameUp(now, OfferKey(m.type, m.zone, m.spot));
-      Log(LogLine::Level::kInfo, "giving up " + name +
-                                     (info.failed    ? ": failed"
-                                      : info.missing ? ": no longer listed"
-                                                     : ": silent"));
-      MarkDirty(shard_id);
-    }
-    bool busy = false;
-    bool stops = false;  // that its reports do not come to ask for
-    for (const Attempt& a : m.attempts) {
-      auto at = attempts_.find(a);
-      if (silent > 3 * settings_.report / 2 && at != attempts_.end() && at->second.seen &&
-          at->second.stopping && !at->second.gone) {
-        if (at->second.state != TaskState::kSaving) at->second.stop_sent = false;
-        stops = true;
-      }
-      if (at == attempts_.end() || !at->second.gone) busy = true;
-      if (at == attempts_.end() || at->second.gone || at->second.stopping) continue;
-      if (info.notice_end == 0) continue;
-      // The machine is about to be taken: what can be saved is saved and goes
-      // on elsewhere; what would not finish in time starts elsewhere at once.
-      const JobEntry* job = FindJob(a.job);
-      if (job == nullptr) continue;
-      const JobSpec& spec = job->record.spec;
-      Micros ran = at->second.running_at == 0 ? 0 : now - at->second.running_at;
-      if (spec.checkpoint > 0) {
-        StopAttempt(now, a, &at->second, spec.save + kSecond);
-      } else if (spec.kind == JobKind::kService || ran + (info.notice_end - now) < spec.estimate) {
-        StopAttempt(now, a, &at->second, 0);
-      }
-      Push(now, shard_id, name);
-    }
-    if (busy || info.first_heard == 0) {
-      info.idle_since = 0;
-    } else if (info.idle_since == 0) {
-      info.idle_since = now;
-    }
-    // Whatever waits for a direct command that could not be sent before.
-    if (stops || info.probe || info.token_seen < TokenOf(shard_id, info) ||
-        info.required_token > info.token_seen) {
-      Push(now, shard_id, name);
+  silence.heard_few_lately = shard.heard_few_at != 0 && now - shard.heard_few_at < settings_.lease;
+  silence.zones_cut_off = ZonesCutOff(now);
+  return silence;
+}
+
+Micros Core::SilentFor(Micros now, const MachineInfo& info) {
+  return now - std::max(info.heard, info.since);
+}
+
+// How long a machine that was up may be silent before it is given up.
+// By the time that the cloud has it back it has ended its tasks itself.
+// In a zone that is cut off, a peer may be keeping leases alive, for as long
+// as no cancel can be overrun. When we seem to be deaf we wait as long, but not
+// for ever. Not longer either: a zone that was away for 60 s had its replicas
+// missed for a third of that time (see docs/rounds.md).
+Micros Core::Patience(const AssignedMachine& machine, const SilenceOfShard& silence) const {
+  if (silence.hears_nobody) return kDeafCancels * settings_.cancel;
+  if (silence.heard_few_lately || silence.zones_cut_off.count(machine.zone) != 0) {
+    return Longest(settings_.cancel) + kCancelSlack;
+  }
+  return settings_.lease - std::min(settings_.lease / 20, kReturnTakes);
+}
+
+bool Core::IsLost(Micros now, const AssignedMachine& machine, const MachineInfo& info,
+                  const SilenceOfShard& silence) const {
+  // Without the state service no machine is given up: it may be we who are cut off.
+  if (!StateFresh(now)) return false;
+  const Micros silent = SilentFor(now, info);
+  if (info.failed) return true;
+  if (info.missing && silent > 3 * settings_.report / 2) return true;
+  const Micros patience = Patience(machine, silence);
+  if (info.first_heard != 0) return silent > patience;
+  const MachineType* type = TypeOf(machine.type);
+  if (type == nullptr) return false;
+  const auto boot =
+      static_cast<Micros>(settings_.op.boot_patience() * static_cast<double>(type->boot));
+  if (silent > boot + kBootSlack) return true;
+  return info.listed_running && !machine.attempts.empty() && silent > patience + kFirstReportSlack;
+}
+
+void Core::GiveUp(Micros now, int shard_id, const AssignedMachine& machine, MachineInfo* info) {
+  info->give_up = true;
+  if (info->first_heard == 0) {
+    offers_.NeverCameUp(now, OfferKey(machine.type, machine.zone, machine.spot));
+  }
+  const char* reason = info->failed    ? ": failed"
+                       : info->missing ? ": no longer listed"
+                                       : ": silent";
+  Log(LogLine::Level::kInfo, "giving up " + machine.name + reason);
+  MarkDirty(shard_id);
+}
+
+// A machine that is about to be taken: what can be saved is saved and goes on elsewhere; what
+// would not finish in time starts elsewhere at once.
+void Core::LeaveMachine(Micros now, int shard_id, const AssignedMachine& machine,
+                        const MachineInfo& info) {
+  if (info.notice_end == 0) return;
+  for (const Attempt& attempt : machine.attempts) {
+    auto known = attempts_.find(attempt);
+    if (known == attempts_.end() || known->second.gone || known->second.stopping) continue;
+    const JobEntry* job = FindJob(attempt.job);
+    if (job == nullptr) continue;
+    const JobSpec& spec = job->record.spec;
+    const Micros running_at = known->second.running_at;
+    const Micros ran = running_at == 0 ? 0 : now - running_at;
+    if (spec.checkpoint > 0) {
+      StopAttempt(now, attempt, &known->second, spec.save + kSecond);
+    } else if (spec.kind == JobKind::kService || ran + (info.notice_end - now) < spec.estimate) {
+      StopAttempt(now, attempt, &known->second, 0);
     }
+    Push(now, shard_id, machine.name);
+  }
+}
+
+// Since when a machine has had no task.
+void Core::JudgeIdle(Micros now, const AssignedMachine& machine, MachineInfo* info) const {
+  const bool busy =
+      std::any_of(machine.attempts.begin(), machine.attempts.end(), [this](const Attempt& attempt) {
+        auto known = attempts_.find(attempt);
+        return known == attempts_.end() || !known->second.gone;
+      });
+  if (busy || info->first_heard == 0) {
+    info->idle_since = 0;
+  } else if (info->idle_since == 0) {
+    info->idle_since = now;
+  }
+}
+
+// Whether there are stops that a machine's reports do not come to ask for; they are sent again.
+bool Core::RepeatStops(Micros now, const AssignedMachine& machine, const MachineInfo& info) {
+  if (SilentFor(now, info) <= 3 * settings_.report / 2) return false;
+  bool due = false;
+  for (const Attempt& attempt : machine.attempts) {
+    auto known = attempts_.find(attempt);
+    if (known == attempts_.end()) continue;
+    AttemptInfo& task = known->second;
+    if (!task.seen || !task.stopping || task.gone) continue;
+    if (task.state != TaskState::kSaving) task.stop_sent = false;
+    due = true;
   }
+  return due;
 }
 
 }  // namespace troutlink
