--- a/src/core/cloud.cc
+++ b/src/core/cloud.cc
@@ -14,14 +14,22 @@
 constexpr Micros kListPatience = 30 * kSecond;
 constexpr Micros kStrayAfter = 20 * kSecond;
 constexpr int kPageLimit = 500;
+constexpr int kMaxAdopted = 50;  // strays, by one round
 }  // namespace
 
+// Brings machines that nobody has into the shard's assignment table.
 void Core::PlanAdoption(Micros now, int shard_id, Plan* plan) {
-  // Rentals that were answered.
-  for (auto it = plan->assignments.rentals.begin(); it != plan->assignments.rentals.end();) {
-    auto state = rental_states_.find(it->first);
+  AdoptRented(plan);
+  AdoptStrays(now, shard_id, plan);
+}
+
+// The machines of rentals that were answered.
+void Core::AdoptRented(Plan* plan) {
+  std::map<std::string, Rental>& rentals = plan->assignments.rentals;
+  for (auto rental = rentals.begin(); rental != rentals.end();) {
+    auto state = rental_states_.find(rental->first);
     if (state == rental_states_.end() || !state->second.done) {
-      ++it;
+      ++rental;
       continue;
     }
     bool all = true;
@@ -31,72 +39,87 @@
         all = false;  // in a later round; until then the rental stays on record
         continue;
       }
-      AssignedMachine m;
-      m.name = name;
-      m.type = it->second.ask.type;
-      m.zone = it->second.ask.zone;
-      m.spot = it->second.ask.spot;
-      m.helps = it->second.helps;
+      AssignedMachine machine;
+      machine.name = name;
+      machine.type = rental->second.ask.type;
+      machine.zone = rental->second.ask.zone;
+      machine.spot = rental->second.ask.spot;
+      machine.helps = rental->second.helps;
       auto known = unknown_.find(name);  // it may be up already
-      if (known != unknown_.end()) m.addr = known->second.addr;
-      plan->assignments.machines[name] = std::move(m);
+      if (known != unknown_.end()) machine.addr = known->second.addr;
+      plan->assignments.machines[name] = std::move(machine);
       plan->Change(name);
     }
-    it = all ? plan->assignments.rentals.erase(it) : std::next(it);
+    rental = all ? rentals.erase(rental) : std::next(rental);
     plan->urgent = true;
   }
-  // Machines that nobody has in an assignment table, by hash of their names. The commit is
-  // conditional on all assignment tables, so that no two shards take the same machine.
-  auto wanted = [&](const std::string& type, const std::string& zone, bool spot) {
-    for (int other_id = 0; other_id < settings_.shard_count(); ++other_id) {
-      const AssignmentTable& r = other_id == shard_id
-                                     ? plan->assignments
-                                     : shards_[static_cast<size_t>(other_id)].assignments;
-      for (const auto& [id, h] : r.rentals) {
-        if (h.ask.type == type && h.ask.zone == zone && h.ask.spot == spot) return true;
-      }
-    }
-    return false;
-  };
+}
+
+// Machines that are in no assignment table: those that report, and those that the cloud's list
+// has shown for a while.
+void Core::AdoptStrays(Micros now, int shard_id, Plan* plan) {
   int adopted = 0;
-  auto adopt = [&](const std::string& name, const std::string& addr, const std::string& type,
-                   const std::string& zone, bool spot) {
-    if (static_cast<int>(StableHash(name) % shards_.size()) != shard_id) return;
-    if (ShardOfMachine(name) >= 0 || plan->assignments.machines.count(name) != 0) return;
-    if (departed_.count(name) != 0 || !plan->MayChange(name)) return;
-    if (wanted(type, zone, spot)) return;  // may be the answer to come
-    AssignedMachine m;
-    m.name = name;
-    m.addr = addr;
-    m.type = type;
-    m.zone = zone;
-    m.spot = spot;
-    plan->assignments.machines[name] = std::move(m);
-    plan->Change(name);
-    plan->all_tables = true;
-    plan->urgent = true;
-    ++adopted;
-    ++counters_.adopted;
-  };
   for (const auto& [name, report] : unknown_) {
-    if (adopted >= 50) break;
+    if (adopted >= kMaxAdopted) return;
     if (returned_.count(name) != 0) continue;
-    adopt(name, report.addr, report.type, report.zone, report.spot);
+    AssignedMachine machine;
+    machine.name = name;
+    machine.addr = report.addr;
+    machine.type = report.type;
+    machine.zone = report.zone;
+    machine.spot = report.spot;
+    if (AdoptStray(shard_id, std::move(machine), plan)) ++adopted;
   }
   // A list may show what was given back long ago. At the very first start, when
   // no shard has rented anything yet, it can be trusted at once.
-  bool first_start = true;
-  for (const Shard& shard : shards_)
-    first_start = first_start && shard.assignments.next_number == 1;
-  for (const ListedMachine& m : listed_) {
-    if (adopted >= 50) break;
-    if (m.state != ListedMachine::State::kRunning && m.age < kStrayAfter) continue;
-    if (m.state == ListedMachine::State::kFailed) continue;
-    auto since = stray_since_.find(m.name);
-    bool long_known = since != stray_since_.end() && now - since->second >= kStrayAfter;
+  const bool first_start = std::all_of(shards_.begin(), shards_.end(), [](const Shard& shard) {
+    return shard.assignments.next_number == 1;
+  });
+  for (const ListedMachine& listed : listed_) {
+    if (adopted >= kMaxAdopted) return;
+    if (listed.state == ListedMachine::State::kFailed) continue;
+    if (listed.state != ListedMachine::State::kRunning && listed.age < kStrayAfter) continue;
+    auto since = stray_since_.find(listed.name);
+    const bool long_known = since != stray_since_.end() && now - since->second >= kStrayAfter;
     if (!first_start && !long_known) continue;
-    adopt(m.name, m.addr, m.type, m.zone, m.spot);
+    AssignedMachine machine;
+    machine.name = listed.name;
+    machine.addr = listed.addr;
+    machine.type = listed.type;
+    machine.zone = listed.zone;
+    machine.spot = listed.spot;
+    if (AdoptStray(shard_id, std::move(machine), plan)) ++adopted;
+  }
+}
+
+// Each shard adopts its part of the strays, by hash of their names. The commit is conditional
+// on all assignment tables, so that no two shards take the same machine.
+bool Core::AdoptStray(int shard_id, AssignedMachine machine, Plan* plan) {
+  const std::string name = machine.name;
+  if (static_cast<int>(StableHash(name) % shards_.size()) != shard_id) return false;
+  if (ShardOfMachine(name) >= 0 || plan->assignments.machines.count(name) != 0) return false;
+  if (departed_.count(name) != 0 || !plan->MayChange(name)) return false;
+  if (MayBeRented(shard_id, machine, *plan)) return false;
+  plan->assignments.machines[name] = std::move(machine);
+  plan->Change(name);
+  plan->all_tables = true;
+  plan->urgent = true;
+  ++counters_.adopted;
+  return true;
+}
+
+// Whether the machine may be of a rental whose answer is still to come.
+bool Core::MayBeRented(int shard_id, const AssignedMachine& machine, const Plan& plan) const {
+  for (int id = 0; id < settings_.shard_count(); ++id) {
+    const AssignmentTable& table = id == shard_id ? plan.assignments : ShardAt(id).assignments;
+    for (const auto& [request, rental] : table.rentals) {
+      const RentRequest& ask = rental.ask;
+      if (ask.type == machine.type && ask.zone == machine.zone && ask.spot == machine.spot) {
+        return true;
+      }
+    }
   }
+  return false;
 }
 
 void Core::SendRental(Micros now, int shard_id, const std::string& request) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -127,6 +127,7 @@
     Micros heard_few_at = 0;  // most machines were silent at once then; 0: never
     int silent = 0;           // machines that were up and are missed
     Micros no_election_before = 0;
+    int election_conflicts = 0;  // in a row
     bool acquiring = false;
     bool releasing = false;
     // Rounds.
@@ -218,6 +219,7 @@
   // ring goes first.
   Micros ElectionDelay(Micros now, int shard_id) const;
   void AcquireLeadership(Micros now, int shard_id);
+  void OnElectionFailed(Micros now, Shard* shard, bool conflict);
   void OnElected(Micros now, int shard_id, uint64_t revision);
   void ForgetDecisions(int shard_id);
   // What a new leader assumes of the machines of its shard.
@@ -547,7 +549,26 @@
   bool KnowsItsMachines(Micros now, int shard_id) const;
   bool IdleTimeWork(const JobSpec& spec) const;
   void PlanRentals(Micros now, int shard_id, Plan* plan);
+  struct OverdueTask {
+    Attempt attempt;
+    AttemptInfo* info;
+  };
+  // What is left of an array whose tail has begun.
+  struct Tail {
+    const JobSpec& spec;
+    JobRun* run;
+    Micros median;  // run time of its tasks
+    int pending;
+    std::vector<OverdueTask> overdue;
+    int room;  // steady, in tasks
+    int candidates() const { return pending + static_cast<int>(overdue.size()); }
+  };
   void PlanTailHelp(Micros now, int shard_id, Plan* plan);
+  static Micros MedianOf(std::vector<Micros> durations);
+  std::vector<OverdueTask> OverdueTasks(Micros now, const Tail& tail);
+  static int SteadyRoom(const Tail& tail, Plan* plan);
+  void BeginHelp(Micros now, int shard_id, const JobRecord& record, const Tail& tail, Plan* plan);
+  void MoveOverdueTasks(Micros now, int shard_id, const Tail& tail, Plan* plan);
   void PlanPlacement(Micros now, int shard_id, Plan* plan);
   void PreemptTeam(Micros now, int shard_id, Plan* plan, const JobSpec& spec);
   void FindPreemptible(const Shard& shard, Plan* plan);
@@ -598,6 +619,10 @@
   void PlanJobMoves(Micros now, int shard_id, Plan* plan);
   uint64_t NextNumber(int shard_id, Plan* plan) const;
   void PlanAdoption(Micros now, int shard_id, Plan* plan);
+  void AdoptRented(Plan* plan);
+  void AdoptStrays(Micros now, int shard_id, Plan* plan);
+  bool AdoptStray(int shard_id, AssignedMachine machine, Plan* plan);
+  bool MayBeRented(int shard_id, const AssignedMachine& machine, const Plan& plan) const;
   // Free cpus while machines go back, and those that arrays keep.
   struct FreeRoom {
     int64_t steady = 0;
--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -8,6 +8,9 @@
 namespace {
 constexpr Micros kStateTimeout = 1500 * kMilli;
 constexpr Micros kHeardSlack = 3 * kSecond;
+constexpr Micros kElectionPause = 100 * kMilli;  // doubles with each conflict in a row
+constexpr int kElectionDoublings = 4;
+constexpr int kConflictsBeforeList = 4;
 }  // namespace
 
 void Core::RunLease(Micros now) {
@@ -107,12 +110,25 @@
            ReindexShards(answered);
            if (!shard.is_leader) OnElected(answered, shard_id, reply->revision);
          } else {
-           shard.no_election_before = answered + 100 * kMilli;
            if (status == 400) session_lease_.Drop();  // no such lease: get a new one
+           OnElectionFailed(answered, &shard, status == 409);
          }
        });
 }
 
+// Another node was faster, as the watch is about to tell. A node whose replica lacked the
+// leadership record once stood for election ten times a second without end, and took a third
+// of all writes with that.
+void Core::OnElectionFailed(Micros now, Shard* shard, bool conflict) {
+  if (!conflict) {
+    shard->no_election_before = now + kElectionPause;
+    return;
+  }
+  const int doublings = std::min(shard->election_conflicts++, kElectionDoublings);
+  shard->no_election_before = now + (kElectionPause << doublings);
+  if (shard->election_conflicts % kConflictsBeforeList == 0) feed_.RequestList();
+}
+
 void Core::OnElected(Micros now, int shard_id, uint64_t revision) {
   Shard& shard = ShardAt(shard_id);
   ++counters_.elections;
--- a/src/core/replica.cc
+++ b/src/core/replica.cc
@@ -102,7 +102,9 @@
   cancellations_.ReplicaCompleteUpTo(feed_.complete_up_to());
   // Each change ends a watch, and each node has one: when requests are short, a
   // watch waits a little and its answer takes more changes.
-  if (state_budget_.Has(now, kWatchReserve)) {
+  if (feed_.list_requested()) {
+    StartList(now);
+  } else if (state_budget_.Has(now, kWatchReserve)) {
     StartWatch(now);
   } else {
     feed_.PauseWatch(now);
@@ -208,6 +210,7 @@
   shard.leadership_version = version;
   shard.leadership = *leadership;
   shard.leaderless_since = 0;
+  shard.election_conflicts = 0;
   if (leadership->leader == settings_.label && leadership->boot == boot_) return;
   shard.previous_leader = leadership->leader;
   if (version > shard.rival_epoch) {
--- a/src/core/replica_feed.cc
+++ b/src/core/replica_feed.cc
@@ -6,19 +6,22 @@
 
 ReplicaFeed::Step ReplicaFeed::Due(Micros now) const {
   if (watching_ || listing_ || now < next_try_) return Step::kWait;
-  return !synced_ || now - followed_at_ > kWatchGap ? Step::kList : Step::kWatch;
+  const bool list = !synced_ || list_requested_ || now - followed_at_ > kWatchGap;
+  return list ? Step::kList : Step::kWatch;
 }
 
 void ReplicaFeed::ListStarted(Micros now) {
   listing_ = true;
   list_sent_ = now;
-  list_revision_ = 0;
+  list_revision_.reset();
+  list_requested_ = false;
 }
 
 // What changes while the pages are read arrives by the watch, which
-// begins at the revision of the first page.
+// begins at the revision of the first page. That of an empty state service is 0: a watch from
+// 1 missed its very first change, and with it a shard's leadership.
 void ReplicaFeed::ListPageRead(uint64_t revision) {
-  if (list_revision_ == 0) list_revision_ = std::max<uint64_t>(1, revision);
+  if (!list_revision_) list_revision_ = revision;
 }
 
 void ReplicaFeed::ListFailed(Micros now) {
@@ -30,7 +33,7 @@
   listing_ = false;
   synced_ = true;
   followed_at_ = now;
-  revision_ = list_revision_;
+  revision_ = list_revision();
   complete_up_to_ = std::max(complete_up_to_, list_sent_);
 }
 
--- a/src/core/replica_feed.h
+++ b/src/core/replica_feed.h
@@ -3,6 +3,7 @@
 #define TROUTLINK_CORE_REPLICA_FEED_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "base/micros.h"
 
@@ -38,7 +39,12 @@
   uint64_t revision() const { return revision_; }
   Micros complete_up_to() const { return complete_up_to_; }
   // Of the list under way: the revision from which the watch will go on.
-  uint64_t list_revision() const { return list_revision_; }
+  uint64_t list_revision() const { return list_revision_.value_or(0); }
+
+  // Something shows that the replica lacks a change: everything is read again once the watch
+  // under way is answered, and the replica serves meanwhile.
+  void RequestList() { list_requested_ = true; }
+  bool list_requested() const { return list_requested_; }
 
  private:
   static constexpr Micros kListPause = 300 * kMilli;
@@ -52,7 +58,8 @@
   bool watching_ = false;
   Micros next_try_ = 0;
   Micros list_sent_ = 0;
-  uint64_t list_revision_ = 0;
+  std::optional<uint64_t> list_revision_;  // of the first page
+  bool list_requested_ = false;
   Micros followed_at_ = 0;  // last answer of a watch, or of a whole list
   uint64_t revision_ = 0;
   Micros complete_up_to_ = 0;
--- a/src/core/tail_help.cc
+++ b/src/core/tail_help.cc
@@ -15,76 +15,101 @@
     if (job == nullptr || JobOver(id) || job->record.spec.kind != JobKind::kArray) continue;
     const JobSpec& spec = job->record.spec;
     if (!TailReached(settings_.op.tail_threshold(), run.done, spec.tasks)) continue;
-    Micros median = 0;
-    if (!run.durations.empty()) {
-      std::vector<Micros> sorted = run.durations;
-      auto mid = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
-      std::nth_element(sorted.begin(), mid, sorted.end());
-      median = *mid;
-    }
-    int pending = spec.tasks - run.done - run.placed;
-    std::vector<std::pair<Attempt, AttemptInfo*>> overdue;
-    for (auto it = attempts_.lower_bound({id, 0, 0}); it != attempts_.end() && it->first.job == id;
-         ++it) {
-      auto& [a, at] = *it;
-      if (at.gone || at.stopping || at.running_at == 0) continue;
-      if (run.moved.count(a.task) != 0) continue;
-      if (TailOverdue(now - at.running_at, median, settings_.op.overdue_margin())) {
-        overdue.emplace_back(a, &at);
-      }
-    }
-    int candidates = pending + static_cast<int>(overdue.size());
-    if (candidates == 0) continue;
-    JobSpread& spread = plan->SpreadOf(spec);
-    // Steady room that the shard has already serves as a helper at no new cost.
-    int room = 0;
-    for (const PlaceMachine& m : plan->machines) {
-      if (m.spot || !m.usable || !Allowed(spec, spread, m)) continue;
-      if (!m.helps.empty() && m.helps != id) continue;
-      Amount left = m.free;
-      while (spec.each.Fits(left) && room < candidates && spec.each.cpus > 0) {
-        left -= spec.each;
-        ++room;
-      }
-    }
-    if (plan->assignments.helps.count(id) == 0) {
-      double credit =
-          TailCredit(settings_.op.credit_share(), spec.tasks, spec.estimate, spec.each.cpus);
-      Micros elapsed = WallNow(now) - job->record.submitted;
-      double cpus = TailCpus(credit, TailRemaining(elapsed, run.done, spec.tasks));
-      plan->assignments.helps[id] = {credit};
-      plan->urgent = true;
-      ++counters_.tails;
-      Offer offer;
-      if (candidates > room &&
-          PickOffer(now, spec, spread, false, InZones(plan->assignments), &offer)) {
-        int n = TailHelpers(cpus, candidates - room, spec.each.cpus, offer.type->size.cpus);
-        if (n > 0) {
-          AddRental(shard_id, plan, offer, false, n, id, "the tail of " + id);
-          counters_.helpers += static_cast<uint64_t>(n);
-        }
-      }
-    }
+    Tail tail{spec, &run, MedianOf(run.durations), 0, {}, 0};
+    tail.pending = spec.tasks - run.done - run.placed;
+    tail.overdue = OverdueTasks(now, tail);
+    if (tail.candidates() == 0) continue;
+    tail.room = SteadyRoom(tail, plan);
+    if (plan->assignments.helps.count(id) == 0) BeginHelp(now, shard_id, job->record, tail, plan);
     if (plan->assignments.helps[id].credit <= 0) continue;  // help ends with the credit
-    room -= pending;
-    for (auto& [a, at] : overdue) {
-      if (room <= 0) break;
-      const PlaceMachine* on = nullptr;
-      for (const PlaceMachine& m : plan->machines) {
-        if (m.name == at->machine) on = &m;
-      }
-      // A steady machine that is well gives it no better place to go.
-      if (on != nullptr && !on->spot && on->usable && on->helps == id) continue;
-      --room;
-      run.moved.insert(a.task);
-      at->moved = true;
-      ++counters_.overdue;
-      plan->assignments.helps[id].credit -=
-          static_cast<double>(spec.each.cpus) / 1000.0 * ToSeconds(median) / 3600.0;
-      StopAttempt(now, a, at, spec.checkpoint > 0 ? spec.save + kSecond : 0);
-      Push(now, shard_id, at->machine);
+    MoveOverdueTasks(now, shard_id, tail, plan);
+  }
+}
+
+Micros Core::MedianOf(std::vector<Micros> durations) {
+  if (durations.empty()) return 0;
+  auto middle = durations.begin() + static_cast<std::ptrdiff_t>(durations.size() / 2);
+  std::nth_element(durations.begin(), middle, durations.end());
+  return *middle;
+}
+
+// Running tasks that have run well past the job's median and were not moved before.
+std::vector<Core::OverdueTask> Core::OverdueTasks(Micros now, const Tail& tail) {
+  std::vector<OverdueTask> overdue;
+  const std::string& id = tail.spec.id;
+  for (auto it = attempts_.lower_bound({id, 0, 0}); it != attempts_.end() && it->first.job == id;
+       ++it) {
+    auto& [attempt, info] = *it;
+    if (info.gone || info.stopping || info.running_at == 0) continue;
+    if (tail.run->moved.count(attempt.task) != 0) continue;
+    if (TailOverdue(now - info.running_at, tail.median, settings_.op.overdue_margin())) {
+      overdue.push_back({attempt, &info});
     }
   }
+  return overdue;
+}
+
+// Steady room that the shard has already serves as a helper at no new cost.
+int Core::SteadyRoom(const Tail& tail, Plan* plan) {
+  const JobSpec& spec = tail.spec;
+  const JobSpread& spread = plan->SpreadOf(spec);
+  int room = 0;
+  for (const PlaceMachine& machine : plan->machines) {
+    if (machine.spot || !machine.usable || !Allowed(spec, spread, machine)) continue;
+    if (!machine.helps.empty() && machine.helps != spec.id) continue;
+    Amount left = machine.free;
+    while (spec.each.Fits(left) && room < tail.candidates() && spec.each.cpus > 0) {
+      left -= spec.each;
+      ++room;
+    }
+  }
+  return room;
+}
+
+// The trigger: the job gets its credit, and steady machines for what has no room.
+void Core::BeginHelp(Micros now, int shard_id, const JobRecord& record, const Tail& tail,
+                     Plan* plan) {
+  const JobSpec& spec = tail.spec;
+  const double credit =
+      TailCredit(settings_.op.credit_share(), spec.tasks, spec.estimate, spec.each.cpus);
+  const Micros elapsed = WallNow(now) - record.submitted;
+  const double cpus = TailCpus(credit, TailRemaining(elapsed, tail.run->done, spec.tasks));
+  plan->assignments.helps[spec.id] = {credit};
+  plan->urgent = true;
+  ++counters_.tails;
+  const int missing = tail.candidates() - tail.room;
+  Offer offer;
+  if (missing <= 0 ||
+      !PickOffer(now, spec, plan->SpreadOf(spec), false, InZones(plan->assignments), &offer)) {
+    return;
+  }
+  const int helpers = TailHelpers(cpus, missing, spec.each.cpus, offer.type->size.cpus);
+  if (helpers <= 0) return;
+  AddRental(shard_id, plan, offer, false, helpers, spec.id, "the tail of " + spec.id);
+  counters_.helpers += static_cast<uint64_t>(helpers);
+}
+
+// Pending tasks come first; what room is left is for overdue ones. Their originals are stopped
+// first, and start anew once that is confirmed.
+void Core::MoveOverdueTasks(Micros now, int shard_id, const Tail& tail, Plan* plan) {
+  const JobSpec& spec = tail.spec;
+  int room = tail.room - tail.pending;
+  for (const OverdueTask& task : tail.overdue) {
+    if (room <= 0) return;
+    auto on = std::find_if(
+        plan->machines.begin(), plan->machines.end(),
+        [&task](const PlaceMachine& machine) { return machine.name == task.info->machine; });
+    // A steady machine that is well gives it no better place to go.
+    if (on != plan->machines.end() && !on->spot && on->usable && on->helps == spec.id) continue;
+    --room;
+    tail.run->moved.insert(task.attempt.task);
+    task.info->moved = true;
+    ++counters_.overdue;
+    plan->assignments.helps[spec.id].credit -=
+        static_cast<double>(spec.each.cpus) / 1000.0 * ToSeconds(tail.median) / 3600.0;
+    StopAttempt(now, task.attempt, task.info, spec.checkpoint > 0 ? spec.save + kSecond : 0);
+    Push(now, shard_id, task.info->machine);
+  }
 }
 
 }  // namespace troutlink
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -300,5 +300,32 @@
   EXPECT_KEPT(w);
 }
 
+// Counts the attempts to become a shard's leader that reach the state service.
+int CountElections(World* w, Micros time) {
+  int elections = 0;
+  w->lose = [&elections](size_t, const Call& call) {
+    if (call.dest != Dest::kState || call.target != wire::CommitTarget()) return false;
+    const Json body = wire::Unpack(call.body).value_or(Json());
+    for (const Json& write : body.at("writes")) {
+      if (write.value("put", "").find("/claim/") != std::string::npos) ++elections;
+    }
+    return false;
+  };
+  w->Run(time);
+  w->lose = nullptr;
+  return elections;
+}
+
+TEST(Leadership, NobodyStandsForElectionWhereALeaderIs) {
+  World w;
+  w.Run(kReady);
+  EXPECT_EQ(CountElections(&w, 20 * kSecond), 0);
+  // Nor after a change of leader.
+  w.Kill(0);
+  w.Run(10 * kSecond);
+  EXPECT_EQ(CountElections(&w, 20 * kSecond), 0);
+  EXPECT_KEPT(w);
+}
+
 }  // namespace
 }  // namespace troutlink::test
