--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -318,7 +318,10 @@
 
 TEST(Leadership, NobodyStandsForElectionWhereALeaderIs) {
   World w;
+  // All nodes read the empty state service before any of them writes to it.
+  w.state_latency = 100 * kMilli;
   w.Run(kReady);
+  w.state_latency = 0;
   EXPECT_EQ(CountElections(&w, 20 * kSecond), 0);
   // Nor after a change of leader.
   w.Kill(0);
