--- a/src/core/core.h
+++ b/src/core/core.h
@@ -506,6 +506,10 @@
   JobRun* RunOf(const std::string& job);
   void LoadRun(int shard_id, const std::string& id, const JobEntry& entry);
   void SyncShard(Micros now, int shard_id);
+  static void ForgetPlaced(JobRun* run);
+  static void MachineCame(Micros now, const Shard& shard, const AssignedMachine& machine,
+                          MachineInfo* info);
+  void SyncAttempts(Micros now, int shard_id, MachineUse* use);
   Micros RoundPace(const Shard& shard) const;
   void RunRounds(Micros now);
   struct Plan;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -48,31 +48,31 @@
   for (PlaceMachine& m : *machines) Add(&m);
 }
 
-void PlaceIndex::Name(PlaceMachine* m) const {
-  m->service_images.clear();
-  if (m->spot) return;
+void PlaceIndex::Name(PlaceMachine* machine) const {
+  machine->service_images.clear();
+  if (machine->spot) return;
   auto note = [&](const std::string& image) {
     auto it = number_.find(image);
-    if (it != number_.end()) m->service_images.push_back(it->second);
+    if (it != number_.end()) machine->service_images.push_back(it->second);
   };
-  if (m->cached != nullptr) {
-    for (const auto& [image, used] : *m->cached) note(image);
+  if (machine->cached != nullptr) {
+    for (const auto& [image, used] : *machine->cached) note(image);
   }
-  for (const std::string& image : m->fetching) note(image);
+  for (const std::string& image : machine->fetching) note(image);
 }
 
-void PlaceIndex::Count(const PlaceMachine& m, int64_t sign) {
-  if (!m.usable || m.spot) return;
-  const int64_t free = sign * std::max<int64_t>(0, m.free.cpus);
+void PlaceIndex::Count(const PlaceMachine& machine, int64_t sign) {
+  if (!machine.usable || machine.spot) return;
+  const int64_t free = sign * std::max<int64_t>(0, machine.free.cpus);
   steady_free_ += free;
-  zone_free_[m.zone] += free;
-  if (!m.helps.empty()) return;
+  zone_free_[machine.zone] += free;
+  if (!machine.helps.empty()) return;
   const int64_t room = free;
-  room_[m.zone] += room;
-  for (int i : m.service_images) {
-    ImageRoom& w = image_room_[static_cast<size_t>(i)];
-    w.free += room;
-    w.by_zone[m.zone] += room;
+  room_[machine.zone] += room;
+  for (int image : machine.service_images) {
+    ImageRoom& image_room = image_room_[static_cast<size_t>(image)];
+    image_room.free += room;
+    image_room.by_zone[machine.zone] += room;
   }
 }
 
@@ -89,57 +89,62 @@
   return out;
 }
 
-int ChooseMachine(const PlaceRequest& r, const std::vector<PlaceMachine>& machines,
+int ChooseMachine(const PlaceRequest& request, const std::vector<PlaceMachine>& machines,
                   const PlaceIndex& index) {
-  const JobSpec& spec = *r.spec;
+  const JobSpec& spec = *request.spec;
   const bool service = spec.kind == JobKind::kService;
   // Work that saves nothing is stopped within moments: where room is scarce it may
   // use what is kept for services, and makes way for them.
-  const bool soft = r.lend && spec.checkpoint == 0;
-  const bool keeps_room = !service && !soft && !r.tail && spec.priority != Priority::kProduction;
+  const bool soft = request.lend && spec.checkpoint == 0;
+  const bool keeps_room =
+      !service && !soft && !request.tail && spec.priority != Priority::kProduction;
   int best = -1;
   double best_score = 0;
   for (size_t i = 0; i < machines.size(); ++i) {
-    const PlaceMachine& m = machines[i];
-    if (!m.usable || (m.closed && !r.closed_too) || !spec.each.Fits(m.free)) continue;
-    if (!m.helps.empty() && m.helps != spec.id) continue;
-    if (spec.priority < m.least_priority) continue;
-    if (r.avoid != nullptr && *r.avoid == m.name) continue;
-    if (!Allowed(spec, *r.spread, m)) continue;
-    if (keeps_room && !m.spot &&
-        (index.steady_free() - spec.each.cpus < r.steady_headroom ||
-         (r.zone_headroom > 0 && index.ZoneFree(m.zone) - spec.each.cpus < r.zone_headroom))) {
+    const PlaceMachine& machine = machines[i];
+    if (!machine.usable || (machine.closed && !request.closed_too) || !spec.each.Fits(machine.free))
+      continue;
+    if (!machine.helps.empty() && machine.helps != spec.id) continue;
+    if (spec.priority < machine.least_priority) continue;
+    if (request.avoid != nullptr && *request.avoid == machine.name) continue;
+    if (!Allowed(spec, *request.spread, machine)) continue;
+    if (keeps_room && !machine.spot &&
+        (index.steady_free() - spec.each.cpus < request.steady_headroom ||
+         (request.zone_headroom > 0 &&
+          index.ZoneFree(machine.zone) - spec.each.cpus < request.zone_headroom))) {
       continue;
     }
     // Seconds until the task can run there: its image, and fetches sharing the link.
     double score = 0;
-    if (!m.Cached(spec.image)) {
-      double fetch = spec.image_gb / std::max(0.01, m.fetch_gb_per_s);
-      score +=
-          m.Has(spec.image) ? 0.5 * fetch : fetch * (1.0 + static_cast<double>(m.fetching.size()));
+    if (!machine.Cached(spec.image)) {
+      double fetch = spec.image_gb / std::max(0.01, machine.fetch_gb_per_s);
+      score += machine.Has(spec.image)
+                   ? 0.5 * fetch
+                   : fetch * (1.0 + static_cast<double>(machine.fetching.size()));
     }
     if (service) {
       // Replicas apart, so that one machine's end takes one of them.
-      score += 0.7 * m.TasksOf(spec.id);
-    } else if (r.tail) {
-      score += m.spot ? 4.0 : 0.0;
-      if (m.helps == spec.id) score -= 5.0;
-    } else if (!m.spot && spec.spot) {
+      score += 0.7 * machine.TasksOf(spec.id);
+    } else if (request.tail) {
+      score += machine.spot ? 4.0 : 0.0;
+      if (machine.helps == spec.id) score -= 5.0;
+    } else if (!machine.spot && spec.spot) {
       score += 3.0;
     }
     if (spec.spread) {
-      auto zone = r.spread->by_zone.find(m.zone);
-      if (zone != r.spread->by_zone.end()) score += 0.2 * zone->second;
+      auto zone = request.spread->by_zone.find(machine.zone);
+      if (zone != request.spread->by_zone.end()) score += 0.2 * zone->second;
     }
     // Pack: prefer the machine with least left over, so that others get empty.
-    score += 0.5 * static_cast<double>(m.free.cpus - spec.each.cpus) /
-             static_cast<double>(std::max<int64_t>(1, m.size.cpus));
+    score += 0.5 * static_cast<double>(machine.free.cpus - spec.each.cpus) /
+             static_cast<double>(std::max<int64_t>(1, machine.size.cpus));
     if (best >= 0 && score >= best_score) continue;
-    if (keeps_room && !m.spot && r.image_headroom > 0) {
+    if (keeps_room && !machine.spot && request.image_headroom > 0) {
       // A service starts at once only where its image is: room there is kept.
-      bool keeps = std::all_of(m.service_images.begin(), m.service_images.end(), [&](int image) {
-        return index.with_image(image).free - spec.each.cpus >= r.image_headroom;
-      });
+      bool keeps =
+          std::all_of(machine.service_images.begin(), machine.service_images.end(), [&](int image) {
+            return index.with_image(image).free - spec.each.cpus >= request.image_headroom;
+          });
       if (!keeps) continue;
     }
     best = static_cast<int>(i);
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -49,70 +49,74 @@
 
 // Brings what is known of attempts, tasks and machines in line with the assignment table.
 void Core::SyncShard(Micros now, int shard_id) {
-  Shard& shard = shards_[static_cast<size_t>(shard_id)];
+  Shard& shard = ShardAt(shard_id);
   ++mark_;
   for (auto& [id, run] : runs_) {
-    if (run.shard_id != shard_id) continue;
-    for (int i : run.placed_list) {
-      uint8_t& t = run.tasks[static_cast<size_t>(i)];
-      if (t == kPlaced) {
-        t = kWaiting;
-        run.hint = std::min(run.hint, i);
-      }
-    }
-    run.placed_list.clear();
-    run.placed = 0;
+    if (run.shard_id == shard_id) ForgetPlaced(&run);
   }
   for (MachineUse& use : shard.machine_use) {
-    const AssignedMachine& m = *use.machine;
-    const std::string& name = m.name;
-    MachineInfo& info = machines_[name];
+    MachineInfo& info = machines_[use.machine->name];
     use.info = &info;
-    use.slots.clear();
-    if (info.assigned_epoch != shard.epoch) {
-      // It came to this shard after the election: by a move, which is entitled by its own
-      // revision. It may have been here before, under an older one.
-      info.assigned_epoch = shard.epoch;
-      auto chunk = shard.chunks.find(ChunkOf(name, shard.assignments.chunks));
-      uint64_t revision = shard.epoch;
-      if (chunk != shard.chunks.end()) revision = std::max(revision, chunk->second.version);
-      info.fencing_token = std::max(info.fencing_token, TokenForEpoch(revision));
-      info.required_token = std::max(info.required_token, TokenForEpoch(revision));
-      info.since = now;
-      info.idle_since = 0;
-      info.give_up = info.drain = info.returning = false;
-      info.ordered.clear();
-      info.ignored_answers = info.lease_losses = 0;
-      info.probe = true;
-      if (info.addr.empty()) info.addr = m.addr;
-    }
-    for (const Attempt& a : m.attempts) {
-      AttemptInfo& at = attempts_[a];
-      if (at.machine.empty()) {
-        at.machine = name;
-        at.shard_id = shard_id;
-        at.placed_at = now;
-      }
-      at.mark = mark_;
-      use.slots.push_back({&at, FindJob(a.job)});
-      if (at.gone) continue;
-      JobRun* run = RunOf(a.job);
-      if (run == nullptr || static_cast<size_t>(a.task) >= run->tasks.size()) continue;
-      uint8_t& t = run->tasks[static_cast<size_t>(a.task)];
-      if (t == kWaiting) {
-        t = kPlaced;
-        ++run->placed;
-        run->placed_list.push_back(a.task);
-      }
-    }
+    if (info.assigned_epoch != shard.epoch) MachineCame(now, shard, *use.machine, &info);
+    SyncAttempts(now, shard_id, &use);
   }
-  for (auto it = attempts_.begin(); it != attempts_.end();) {
-    bool left = it->second.shard_id == shard_id && it->second.mark != mark_;
-    it = left ? attempts_.erase(it) : std::next(it);
+  std::erase_if(attempts_, [&](const auto& item) {
+    return item.second.shard_id == shard_id && item.second.mark != mark_;
+  });
+  std::erase_if(returned_,
+                [this](const std::string& name) { return machine_shard_.count(name) == 0; });
+}
+
+void Core::ForgetPlaced(JobRun* run) {
+  for (int task : run->placed_list) {
+    uint8_t& state = run->tasks[static_cast<size_t>(task)];
+    if (state != kPlaced) continue;
+    state = kWaiting;
+    run->hint = std::min(run->hint, task);
   }
-  for (auto it = returned_.begin(); it != returned_.end();) {
-    auto leader = machine_shard_.find(*it);
-    it = leader == machine_shard_.end() ? returned_.erase(it) : std::next(it);
+  run->placed_list.clear();
+  run->placed = 0;
+}
+
+// A machine came to this shard after the election: by a move, which is entitled by its own
+// revision. It may have been here before, under an older one.
+void Core::MachineCame(Micros now, const Shard& shard, const AssignedMachine& machine,
+                       MachineInfo* info) {
+  info->assigned_epoch = shard.epoch;
+  auto chunk = shard.chunks.find(ChunkOf(machine.name, shard.assignments.chunks));
+  uint64_t revision = shard.epoch;
+  if (chunk != shard.chunks.end()) revision = std::max(revision, chunk->second.version);
+  info->fencing_token = std::max(info->fencing_token, TokenForEpoch(revision));
+  info->required_token = std::max(info->required_token, TokenForEpoch(revision));
+  info->since = now;
+  info->idle_since = 0;
+  info->give_up = info->drain = info->returning = false;
+  info->ordered.clear();
+  info->ignored_answers = info->lease_losses = 0;
+  info->probe = true;
+  if (info->addr.empty()) info->addr = machine.addr;
+}
+
+// Marks the tasks of a machine as placed, and looks up what rounds need of its attempts.
+void Core::SyncAttempts(Micros now, int shard_id, MachineUse* use) {
+  use->slots.clear();
+  for (const Attempt& attempt : use->machine->attempts) {
+    AttemptInfo& info = attempts_[attempt];
+    if (info.machine.empty()) {
+      info.machine = use->machine->name;
+      info.shard_id = shard_id;
+      info.placed_at = now;
+    }
+    info.mark = mark_;
+    use->slots.push_back({&info, FindJob(attempt.job)});
+    if (info.gone) continue;
+    JobRun* run = RunOf(attempt.job);
+    if (run == nullptr || static_cast<size_t>(attempt.task) >= run->tasks.size()) continue;
+    uint8_t& state = run->tasks[static_cast<size_t>(attempt.task)];
+    if (state != kWaiting) continue;
+    state = kPlaced;
+    ++run->placed;
+    run->placed_list.push_back(attempt.task);
   }
 }
 
