--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -165,5 +165,30 @@
   EXPECT_KEPT(w);
 }
 
+TEST(Fleet, AMachineThatCannotBeClearedDoesNotHoldUpTheOthers) {
+  World w(1);
+  w.cloud.capacity = 0;
+  for (int i = 0; i < 6; ++i) w.AddWorker("small");
+  w.Run(kReady);
+  // All memory of one machine and hardly any of its cpus: the other one that has its image has
+  // no room for it.
+  JobSpec lonely = World::Service("job-1", 1);
+  lonely.each = {1000, 0, 64000};
+  lonely.image = "rare";
+  Accept(w, 0, lonely);
+  JobSpec neighbour = World::Service("job-3", 1);
+  neighbour.image = "rare";
+  Accept(w, 0, neighbour);
+  ASSERT_TRUE(
+      w.Until([&] { return w.OnMachines("job-1") + w.OnMachines("job-3") == 2; }, 20 * kSecond));
+  Accept(w, 0, World::Service("job-2", 5));
+  ASSERT_TRUE(w.Until([&] { return w.OnMachines("job-2") == 5; }, 20 * kSecond));
+  EXPECT_TRUE(w.Until([&] { return w.cloud.returns >= 2; }, 150 * kSecond));
+  w.Run(20 * kSecond);
+  EXPECT_EQ(w.OnMachines("job-1"), 1);
+  EXPECT_EQ(w.OnMachines("job-2"), 5);
+  EXPECT_KEPT(w);
+}
+
 }  // namespace
 }  // namespace troutlink::test
