--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -64,6 +64,28 @@
 
 int64_t Milli(double value) { return std::llround(value * 1000); }
 
+StateLimits ReadLimits(const Json& state, const std::string& where) {
+  StateLimits limits;
+  limits.write_rps = GetNumber(state, where, "write_rps", 1, 1e9);
+  limits.value_bytes = static_cast<int64_t>(1024 * GetNumber(state, where, "value_kb", 1, 1e6));
+  limits.txn_ops = static_cast<int>(GetNumber(state, where, "txn_ops", 4, 1e6));
+  return limits;
+}
+
+// The announced limits; what they do not name stays as it is, and none of them is larger.
+StateLimits ReadNextLimits(const Json& state, const StateLimits& present) {
+  auto next = state.find("next");
+  if (next == state.end() || next->is_null()) return present;
+  if (!next->is_object()) throw Bad("state.next must be an object");
+  Json merged = state;
+  merged.merge_patch(*next);
+  StateLimits limits = ReadLimits(merged, "state.next");
+  limits.write_rps = std::min(limits.write_rps, present.write_rps);
+  limits.value_bytes = std::min(limits.value_bytes, present.value_bytes);
+  limits.txn_ops = std::min(limits.txn_ops, present.txn_ops);
+  return limits;
+}
+
 Settings Read(const Json& doc) {
   Settings settings;
   settings.label = GetText(doc, "settings", "label");
@@ -119,9 +141,8 @@
   }
   const Json& state = Get(facts, "facts", "state");
   settings.state_rps = GetNumber(state, "state", "rps", 1, 1e9);
-  settings.write_rps = GetNumber(state, "state", "write_rps", 1, 1e9);
-  settings.value_bytes = static_cast<int64_t>(1024 * GetNumber(state, "state", "value_kb", 1, 1e6));
-  settings.txn_ops = static_cast<int>(GetNumber(state, "state", "txn_ops", 4, 1e6));
+  settings.state_limits = ReadLimits(state, "state");
+  settings.next_state_limits = ReadNextLimits(state, settings.state_limits);
   const Json& cloud = Get(facts, "facts", "cloud");
   settings.cloud_rps = GetNumber(cloud, "cloud", "rps", 0.01, 1e9);
   settings.list_lag = FromSeconds(GetNumber(cloud, "cloud", "list_lag_s", 0, 3600));
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -51,6 +51,14 @@
   double times = 1;  // of the deadline
 };
 
+// What the state service accepts.
+struct StateLimits {
+  double write_rps = 0;     // puts and deletes in a second
+  int64_t value_bytes = 0;  // of one value
+  int txn_ops = 0;          // puts and deletes of a transaction; four times as many conditions
+  int conditions() const { return 4 * txn_ops; }
+};
+
 // Everything that a controller is told at its start. Amounts are checked to be in range.
 struct Settings {
   std::string label;
@@ -67,9 +75,10 @@
   Micros lease = 0;
   Micros cancel = 0;
   double state_rps = 0;
-  double write_rps = 0;
-  int64_t value_bytes = 0;
-  int txn_ops = 0;
+  StateLimits state_limits;
+  // Those that the state service will have from some moment after an upgrade, without notice.
+  // No larger than the present ones, and the same where nothing is announced.
+  StateLimits next_state_limits;
   double cloud_rps = 0;
   Micros list_lag = 0;
   double cores = 0;
--- a/src/core/commit.cc
+++ b/src/core/commit.cc
@@ -18,6 +18,7 @@
 constexpr int kMaxChunks = 1024;
 constexpr int64_t kFullPercent = 95;  // of a value's limit
 constexpr int kWritesKept = 2;        // of a transaction, for what follows the jobs that move
+constexpr int kSmallTxnOps = 8;       // a transaction of fewer writes has none to spare
 // Writes that a commit leaves in the budget for more important ones.
 constexpr double kCriticalReserve = 2;
 constexpr double kUrgentReserve = 4;
@@ -40,11 +41,11 @@
   auto a = after.machines.begin();
   while (b != before.machines.end() || a != after.machines.end()) {
     if (a == after.machines.end() || (b != before.machines.end() && b->first < a->first)) {
-      out.insert(ChunkOf((b++)->first, after.chunks));
+      out.insert(after.ChunkOfMachine((b++)->first));
     } else if (b == before.machines.end() || a->first < b->first) {
-      out.insert(ChunkOf((a++)->first, after.chunks));
+      out.insert(after.ChunkOfMachine((a++)->first));
     } else {
-      if (!(a->second == b->second)) out.insert(ChunkOf(a->first, after.chunks));
+      if (!(a->second == b->second)) out.insert(after.ChunkOfMachine(a->first));
       ++a;
       ++b;
     }
@@ -59,7 +60,7 @@
   StateTxn txn;
   WriteTable(shard_id, &plan->assignments, &txn);
   for (auto& [other_id, assignments] : plan->others) WriteTable(other_id, &assignments, &txn);
-  WriteDoneJobs(plan, &txn);
+  WriteDoneJobs(now, plan, &txn);
   WriteMovedJobs(plan, &txn);
   if (plan->progress) WriteProgress(shard_id, &txn);
   if (txn.writes.empty()) {
@@ -89,8 +90,9 @@
 void Core::WriteTable(int shard_id, AssignmentTable* assignments, StateTxn* txn) const {
   const Shard& shard = ShardAt(shard_id);
   std::set<int> changed = ChangedChunks(shard.assignments, *assignments);
-  if (shard.chunks.count(0) == 0) changed.insert(0);
-  const int64_t full = settings_.value_bytes * kFullPercent / 100;
+  // The header is in every commit: its version is that of the whole table.
+  if (!changed.empty() || shard.chunks.count(0) == 0) changed.insert(0);
+  const int64_t full = Limits().value_bytes * kFullPercent / 100;
   bool split = false;
   std::vector<std::pair<int, std::string>> values;
   for (;;) {
@@ -103,31 +105,40 @@
     // Well before a value is full its chunk is divided, one a commit; only one
     // that would not fit at all makes it more.
     const bool divide = largest > full || (!split && largest > std::min(kMaxChunkBytes, full));
+    // The compact form grows by commits of its own (GrowTable).
+    if (assignments->form == TableForm::kCompact) break;
     if (!divide || assignments->chunks >= kMaxChunks) break;
-    changed.insert({0, SplitChunk(assignments->chunks), assignments->chunks});
+    changed.insert({0, assignments->ChunkToSplit(), assignments->chunks});
     ++assignments->chunks;
     split = true;
   }
   for (auto& [chunk, value] : values) {
-    txn->writes.push_back({AssignmentKey(shard_id, chunk), std::move(value), 0, false});
+    txn->writes.push_back(
+        {AssignmentKey(shard_id, chunk, assignments->form), std::move(value), 0, false});
   }
 }
 
 // Writes a job's record on the condition that it is the one in the replica.
-void Core::WriteJob(const std::string& id, uint64_t version, const JobRecord& record, Plan* plan,
+void Core::WriteJob(const std::string& id, uint64_t version, const JobRecord& record,
                     StateTxn* txn) {
   txn->conditions.push_back({JobKey(id), version});
-  plan->jobs.erase(id);
   txn->writes.push_back({JobKey(id), EncodeJob(record), 0, false});
 }
 
-void Core::WriteDoneJobs(Plan* plan, StateTxn* txn) const {
+JobRecord Core::DoneRecord(Micros now, const JobEntry& job) const {
+  JobRecord record = job.record;
+  record.state = JobState::kDone;
+  // Version 1 neither writes nor needs the time.
+  if (all_nodes_current_) record.finished = WallNow(now);
+  return record;
+}
+
+void Core::WriteDoneJobs(Micros now, Plan* plan, StateTxn* txn) const {
   for (const std::string& id : plan->done) {
     const JobEntry* job = FindJob(id);
     if (job == nullptr || job->record.state != JobState::kOpen) continue;
-    JobRecord record = job->record;
-    record.state = JobState::kDone;
-    WriteJob(id, job->version, record, plan, txn);
+    WriteJob(id, job->version, DoneRecord(now, *job), txn);
+    plan->jobs.erase(id);
   }
 }
 
@@ -135,31 +146,20 @@
   for (const auto& [id, to] : plan->moved) {
     const JobEntry* job = FindJob(id);
     if (job == nullptr || job->record.state != JobState::kOpen) continue;
-    if (static_cast<int>(txn->writes.size()) + kWritesKept > settings_.txn_ops) break;
+    const int kept = Limits().txn_ops < kSmallTxnOps ? 1 : kWritesKept;
+    if (static_cast<int>(txn->writes.size()) + kept > Limits().txn_ops) break;
     JobRecord record = job->record;
+    record.spec.priority = job->own_priority;
     record.shard_id = to;
     ++record.moves;
-    WriteJob(id, job->version, record, plan, txn);
+    WriteJob(id, job->version, record, txn);
+    plan->jobs.erase(id);
     ++counters_.job_moves;
   }
 }
 
 void Core::WriteProgress(int shard_id, StateTxn* txn) const {
-  Progress progress;
-  for (const auto& [id, run] : runs_) {
-    if (run.shard_id != shard_id || run.done == 0) continue;
-    std::set<int>& done = progress[id];
-    for (size_t task = 0; task < run.tasks.size(); ++task) {
-      if (run.tasks[task] == kDone) done.insert(static_cast<int>(task));
-    }
-  }
-  std::string value = EncodeProgress(progress);
-  // Losing it only repeats work: what does not fit is left out.
-  while (StoredSize(value) > settings_.value_bytes * 9 / 10 && !progress.empty()) {
-    progress.erase(progress.begin());
-    value = EncodeProgress(progress);
-  }
-  txn->writes.push_back({ProgressKey(shard_id), std::move(value), 0, false});
+  txn->writes.push_back({ProgressKey(shard_id), FittingProgress(ProgressOf(shard_id)), 0, false});
 }
 
 // Whether a commit goes out in this round, or waits so that one write takes more.
@@ -197,13 +197,17 @@
 }
 
 // A commit holds only under the leadership that decided it, and only if nothing that it
-// builds on has changed.
+// builds on has changed. Another shard's table changes under that shard's leadership, so that an
+// election there voids what was decided before.
 void Core::AddConditions(int shard_id, const Plan& plan, StateTxn* txn) const {
   txn->conditions.push_back({LeadershipKey(shard_id), ShardAt(shard_id).epoch});
   for (int id = 0; id < settings_.shard_count(); ++id) {
     if (id == shard_id || plan.all_tables || plan.others.count(id) != 0) {
       AddTableConditions(id, txn);
     }
+    if (id != shard_id && plan.others.count(id) != 0) {
+      txn->conditions.push_back({LeadershipKey(id), ShardAt(id).leadership_version});
+    }
   }
   for (const std::string& id : plan.jobs) {
     const JobEntry* job = FindJob(id);
@@ -211,18 +215,35 @@
   }
 }
 
+// Version 1 commits without a table's header where only machines of other chunks change: while
+// a node may have it, each chunk is a condition.
 void Core::AddTableConditions(int shard_id, StateTxn* txn) const {
   const Shard& shard = ShardAt(shard_id);
-  if (shard.chunks.count(0) == 0) txn->conditions.push_back({AssignmentKey(shard_id, 0), 0});
+  AddHeaderCondition(shard_id, txn);
   for (const auto& [index, chunk] : shard.chunks) {
-    txn->conditions.push_back({AssignmentKey(shard_id, index), chunk.version});
+    if (index == 0) continue;
+    const std::string key = AssignmentKey(shard_id, index, shard.assignments.form);
+    const bool written = std::any_of(txn->writes.begin(), txn->writes.end(),
+                                     [&key](const StateWrite& write) { return write.key == key; });
+    if (!all_nodes_current_ || written) txn->conditions.push_back({key, chunk.version});
   }
 }
 
+void Core::AddHeaderCondition(int shard_id, StateTxn* txn) const {
+  const Shard& shard = ShardAt(shard_id);
+  auto header = shard.chunks.find(0);
+  txn->conditions.push_back({AssignmentKey(shard_id, 0, shard.assignments.form),
+                             header == shard.chunks.end() ? 0 : header->second.version});
+}
+
 bool Core::FitsTransaction(const StateTxn& txn, const std::string& body) const {
-  return static_cast<int64_t>(body.size()) <= kMaxTxnBytes &&
-         static_cast<int>(txn.writes.size()) <= settings_.txn_ops &&
-         static_cast<int>(txn.conditions.size()) <= 4 * settings_.txn_ops;
+  const bool values_fit =
+      std::all_of(txn.writes.begin(), txn.writes.end(), [this](const StateWrite& write) {
+        return write.erase || StoredSize(write.value) <= Limits().value_bytes;
+      });
+  return values_fit && static_cast<int64_t>(body.size()) <= kMaxTxnBytes &&
+         static_cast<int>(txn.writes.size()) <= Limits().txn_ops &&
+         static_cast<int>(txn.conditions.size()) <= Limits().conditions();
 }
 
 // A round decided more than a transaction holds and nothing of it was sent: the next rounds
@@ -261,7 +282,13 @@
   const bool current = shard.is_leader && shard.epoch == epoch;
   if (current) shard.committing = false;
   if (status == 200 && reply) {
-    for (const StateWrite& write : writes) ApplyPut(now, write.key, write.value, reply->revision);
+    for (const StateWrite& write : writes) {
+      if (write.erase) {
+        ApplyErase(now, write.key, reply->revision);
+      } else {
+        ApplyPut(now, write.key, write.value, reply->revision);
+      }
+    }
     ReindexShards(now);
     if (current) OnCommitted(now, shard_id, plan);
     return;
@@ -277,6 +304,11 @@
   // voids this transaction or learns that it applied.
   if (status == kNoAnswer) ++counters_.commit_unknown;
   if (status == 429) write_budget_.Drain(now);
+  if (status == 400) {
+    // The limits may have come before this node knew that all nodes can keep to them.
+    ++counters_.refused_by_limits;
+    shard.narrow = kNarrowRounds;
+  }
   shard.not_before = now + kFailedCommitPause;
 }
 
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -11,6 +11,7 @@
 
 namespace {
 constexpr double kShareOfLimits = 0.9;
+constexpr double kWriteBurst = 0.5;  // seconds
 
 bool IsAbort(const Request& request) {
   std::optional<wire::JobPath> path = wire::ParseJobPath(request.target);
@@ -28,8 +29,8 @@
       cancellations_(settings.cancel, settings.lease),
       health_(static_cast<int>(settings.op.machine_failures()),
               static_cast<int>(settings.op.job_failures())),
-      write_budget_(settings.write_rps * kShareOfLimits / settings.shard_count(),
-                    settings.write_rps * 0.5),
+      write_budget_(settings.state_limits.write_rps * kShareOfLimits / settings.shard_count(),
+                    settings.next_state_limits.write_rps * kWriteBurst),
       state_budget_(settings.state_rps * kShareOfLimits / settings.shard_count(),
                     settings.state_rps * 0.3),
       cloud_budget_(settings.cloud_rps * kShareOfLimits / settings.shard_count(),
@@ -194,7 +195,7 @@
                                    [](const Shard& shard) { return shard.is_leader; });
   const double share = kShareOfLimits * static_cast<double>(std::max<std::ptrdiff_t>(1, owned)) /
                        settings_.shard_count();
-  write_budget_.SetRate(now, settings_.write_rps * share);
+  write_budget_.SetRate(now, Limits().write_rps * share);
   state_budget_.SetRate(now, settings_.state_rps * share);
   cloud_budget_.SetRate(now, settings_.cloud_rps * share);
 }
@@ -216,6 +217,7 @@
     case ReplicaFeed::Step::kWait: break;
   }
   if (now >= next_heartbeat_) Heartbeat(now);
+  PublishVersion(now);
   RunLease(now);
   if (feed_.synced()) RunElections(now);
   ShareLimits(now);
@@ -275,6 +277,14 @@
   put("overdue_total", c.overdue);
   put("preempted_total", c.preempted);
   put("fencing_raises_total", c.fencing_raises);
+  put("orphans_total", c.orphans);
+  put("refused_by_limits_total", c.refused_by_limits);
+  put("cluster_version", all_nodes_current_ ? kStoredFormVersion : kStoredFormVersion - 1);
+  put("state_value_bytes", static_cast<uint64_t>(Limits().value_bytes));
+  put("state_transaction_changes", static_cast<uint64_t>(Limits().txn_ops));
+  put("blocked_jobs", static_cast<uint64_t>(std::count_if(
+                          open_jobs_.begin(), open_jobs_.end(),
+                          [this](const std::string& id) { return jobs_.at(id).blocked; })));
   put("jobs", jobs_.size());
   put("attempts", attempts_.size());
   put("machines", machines_.size());
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -17,6 +17,7 @@
 #include "config/settings.h"
 #include "core/budget.h"
 #include "core/cancellations.h"
+#include "core/dependencies.h"
 #include "core/health.h"
 #include "core/io.h"
 #include "core/offer_health.h"
@@ -40,6 +41,8 @@
   uint64_t rented_machines = 0, refused_rentals = 0, returned = 0, adopted = 0;
   uint64_t elections = 0, lost_leaderships = 0, handed_back = 0;
   uint64_t unresponsive = 0;
+  uint64_t orphans = 0;            // jobs that a cancellation of another one cancels
+  uint64_t refused_by_limits = 0;  // 400s of the state service
   uint64_t tails = 0, helpers = 0, overdue = 0, preempted = 0, fencing_raises = 0;
 };
 
@@ -69,12 +72,19 @@
 
   // --- replica (replica.cc): what the state service holds, as last heard -----------
   struct JobEntry {
-    JobRecord record;  // the specification is dropped once the job is over
+    // The specification is dropped once the job is over. Its priority is the one that the job
+    // is served with: its own or that of a job that depends on it.
+    JobRecord record;
     uint64_t version = 0;
+    Priority own_priority = Priority::kLow;
+    bool blocked = false;  // waits for a job that it depends on
+    Micros ready_at = 0;   // time of day from which it may start, once it is not blocked
+    Micros inherited_latest_start = Urgency::kNoLimit;  // time of day, by its dependents
   };
   struct Chunk {
     uint64_t version = 0;
     std::vector<std::string> names;  // of its machines
+    size_t bytes = 0;
   };
   // What a shard's attempts use, counted once for each change of its assignment table.
   struct Use {
@@ -106,16 +116,21 @@
   struct Shard {
     uint64_t leadership_version = 0;  // 0: nobody holds it
     Leadership leadership;
-    std::map<int, Chunk> chunks;
+    std::map<int, Chunk> chunks;  // of the table's form
+    // Of a table in the compact form: what is left of the original one, which does not change
+    // any more.
+    std::map<int, Chunk> original_chunks;
+    std::map<std::string, AssignedMachine> original_machines;
     AssignmentTable assignments;
     std::unordered_map<std::string, int> chunk_of;  // of its machines, as stored
     Use use;
     std::vector<MachineUse> machine_use;
     size_t attempts = 0;
     bool any_leaving = false;
-    bool sync_due = false;  // the assignment table changed
-    uint64_t progress_version = 0;
-    Progress progress;
+    bool sync_due = false;                       // the assignment table changed
+    std::map<int, uint64_t> progress_versions;   // by page
+    std::map<int, std::string> progress_values;  // as stored
+    Progress progress;                           // of open jobs, of all pages
     // Leadership.
     bool is_leader = false;
     uint64_t epoch = 0;        // kept after a loss, to go on answering reports
@@ -147,6 +162,8 @@
     Micros changed_at = 0;  // last change of the assignment table
     Micros progress_at = 0;
     bool progress_dirty = false;
+    bool maintained = false;         // the last turn was of the table's form
+    bool records_committed = false;  // the last turn was of job records
     uint32_t batch = 0;
     Micros next_state_log = 0;  // next line in the log of what it has
     int window_at = 0;          // the chunk whose turn it is
@@ -173,9 +190,15 @@
   void ApplyOpenJob(const std::string& id, const JobEntry& entry);
   void ApplyFinishedJob(Micros now, const std::string& id, JobEntry* entry);
   void ApplyLeadership(Micros now, int shard_id, const std::string& value, uint64_t version);
-  void ApplyProgress(int shard_id, const std::string& value, uint64_t version);
+  void ApplyProgress(int shard_id, int page, const std::string& value, uint64_t version);
   void ApplyTypes(const std::string& value);
-  void ApplyChunk(Micros now, int shard_id, int index, const std::string& value, uint64_t version);
+  void ApplyChunk(Micros now, const Key& key, const std::string& value, uint64_t version);
+  void ApplyHeader(Micros now, int shard_id, AssignmentTable header);
+  // The first value of the compact form of a table was read.
+  static void BeginCompactForm(Shard* shard);
+  void ApplyOriginalChunk(Micros now, const Key& key, const std::string& value, uint64_t version);
+  // Machines of the original form that the compact form has by now, or no longer has at all.
+  void DropMigratedMachines(Micros now, int shard_id);
   // The machine is no longer in the shard's assignment table, or is there as given.
   void RemoveMachine(Micros now, int shard_id, const std::string& name);
   void PutMachine(Micros now, int shard_id, AssignedMachine machine);
@@ -183,12 +206,34 @@
   MachineUse CountUse(const AssignedMachine& machine) const;
   // Whether there is such a shard, and this node leads it.
   bool LeadsShard(int shard_id) const;
-  void DropFinishedSpec(JobEntry* entry);
+  static void DropFinishedSpec(JobEntry* entry);
   int ShardOfMachine(const std::string& name) const;
 
   Shard& ShardAt(int shard_id) { return shards_[static_cast<size_t>(shard_id)]; }
   const Shard& ShardAt(int shard_id) const { return shards_[static_cast<size_t>(shard_id)]; }
 
+  // --- cluster version (cluster_version.cc) ----------------------------------------
+  struct NodeVersion {
+    uint64_t version = 1;
+    uint64_t revision = 0;
+  };
+  void PublishVersion(Micros now);
+  bool HoldsEarlierLeadership() const;
+  void ApplyNodeVersion(const std::string& label, const std::string& value, uint64_t revision);
+  const StateLimits& Limits() const;
+
+  // --- pipelines (pipelines.cc): jobs that depend on others ------------------------
+  void NoteOpenJob(const std::string& id);
+  void NoteFinishedJob(const std::string& id);
+  bool HasCancelledDependency(const JobEntry& entry) const;
+  // The job and all that depend on it are cancelled with a job that they depend on; their
+  // records are not yet.
+  void AddOrphan(const std::string& id);
+  void CheckDependencies(const std::string& id);
+  Urgency OwnUrgency(const JobEntry& entry) const;
+  static Micros StageTime(const JobSpec& spec);
+  void ApplyInheritedUrgency(const std::string& id);
+
   // --- heartbeats (heartbeats.cc): what controllers tell each other ----------------
   void Heartbeat(Micros now);
   // `seen`: the receiver's replica holds all up to this revision.
@@ -219,6 +264,10 @@
   // ring goes first.
   Micros ElectionDelay(Micros now, int shard_id) const;
   void AcquireLeadership(Micros now, int shard_id);
+  StateTxn ElectionTxn(int shard_id) const;
+  // Our own shard's leadership record is newer than we know, or has to be renewed with another
+  // form of its table.
+  void CheckOwnLeadership(Micros now, int shard_id);
   void OnElectionFailed(Micros now, Shard* shard, bool conflict);
   void OnElected(Micros now, int shard_id, uint64_t revision);
   void ForgetDecisions(int shard_id);
@@ -277,6 +326,11 @@
   std::string FreshPeer(Micros now) const;
   void Submit(Micros now, const Request& request);
   void StoreJob(Micros now, const Query& query, JobSpec spec);
+  // Stores the job once all jobs that it depends on are known, reading those that the replica
+  // lacks.
+  void ResolveDependencies(Micros now, const Query& query, JobSpec spec);
+  // Empty: they may be depended on.
+  std::string BadDependency(const JobSpec& spec) const;
   // Empty: it can run.
   std::string NeverRuns(const JobSpec& spec) const;
   static int SpreadRetry(const std::string& id);
@@ -290,6 +344,9 @@
                          const std::string& body);
   // Reads a job's record again, as the replica's turned out to be old.
   void FetchJob(Micros now, const std::string& id);
+  // The same, and goes on; `read`: the replica has it now, if there is such a job.
+  void ReadJob(Micros now, const std::string& id, std::function<void(Micros now, bool read)> then);
+  bool KnowsFateOf(Micros now, const JobEntry& entry) const;
   JobStatus StatusOf(const std::string& id, const JobEntry& entry) const;
 
   // --- choice of a shard for a job (shard_choice.cc) -------------------------------
@@ -538,6 +595,7 @@
   void OrderWaiting(Micros now, int shard_id, const Plan& plan,
                     std::vector<Waiting>* waiting) const;
   void Round(Micros now, int shard_id);
+  void FindDoneJobs(int shard_id, Plan* plan) const;
   void LogShardState(int shard_id, const Plan& plan);
   struct Offer {
     const MachineType* type = nullptr;
@@ -584,16 +642,38 @@
   bool PlanAcquisition(Micros now, int shard_id, Plan* plan, const JobSpec& spec);
   bool PlanQuotaTransfer(Micros now, int shard_id, Plan* plan, const Team& team, const Share& want);
   void Commit(Micros now, int shard_id, Plan* plan);
+  // table_form.cc: the form in which a table is stored.
+  bool NeedsCompactForm(const Shard& shard) const;
+  bool MayChangeTable(const Shard& shard) const;
+  AssignmentTable FirstCompactTable(const Shard& shard) const;
+  bool MaintainTable(Micros now, int shard_id);
+  bool MigrateTable(Micros now, int shard_id);
+  bool EraseOriginalForm(Micros now, int shard_id);
+  bool GrowTable(Micros now, int shard_id);
+  bool CommitAlone(Micros now, int shard_id, AssignmentTable assignments, StateTxn txn,
+                   bool progress = false);
+  // job_records.cc: changes of job records and progress that need no change of the table.
+  bool CommitJobRecords(Micros now, int shard_id);
+  void WriteOrphans(int shard_id, StateTxn* txn) const;
+  void WriteDoneRecords(Micros now, int shard_id, StateTxn* txn) const;
+  bool WriteProgressPages(Micros now, int shard_id, StateTxn* txn);
+  Progress ProgressOf(int shard_id) const;
+  std::string FittingProgress(Progress progress) const;
+  bool HasRoomForWrite(const StateTxn& txn) const;
   void WriteTable(int shard_id, AssignmentTable* assignments, StateTxn* txn) const;
-  static void WriteJob(const std::string& id, uint64_t version, const JobRecord& record, Plan* plan,
+  static void WriteJob(const std::string& id, uint64_t version, const JobRecord& record,
                        StateTxn* txn);
-  void WriteDoneJobs(Plan* plan, StateTxn* txn) const;
+  JobRecord DoneRecord(Micros now, const JobEntry& job) const;
+  void WriteDoneJobs(Micros now, Plan* plan, StateTxn* txn) const;
   void WriteMovedJobs(Plan* plan, StateTxn* txn);
   void WriteProgress(int shard_id, StateTxn* txn) const;
   static bool MayCommitNow(Micros now, Shard* shard, const Plan& plan);
   bool TakeWrites(Micros now, int shard_id, const Plan& plan, size_t writes);
   void AddConditions(int shard_id, const Plan& plan, StateTxn* txn) const;
+  // A condition on the whole table: on its header alone once every commit writes that, and on
+  // the chunks that are written.
   void AddTableConditions(int shard_id, StateTxn* txn) const;
+  void AddHeaderCondition(int shard_id, StateTxn* txn) const;
   bool FitsTransaction(const StateTxn& txn, const std::string& body) const;
   void DecideLess(Micros now, int shard_id, const Plan& plan);
   void SendCommit(int shard_id, std::shared_ptr<const Plan> plan,
@@ -610,8 +690,8 @@
   int64_t SteadyHeadroom(int shard_id) const;
   bool SpreadServices(int shard_id) const;
   // The last moment at which the rest of a job may start and still be in time.
-  Micros LatestStart(const JobRecord& record) const;
-  std::vector<Micros> LatestStarts(const JobRecord& record) const;
+  Micros LatestStart(const JobEntry& job) const;
+  std::vector<Micros> LatestStarts(const JobEntry& job) const;
   bool LastOfZone(const Plan& plan, const PlaceMachine& machine) const;
   bool LastWithImage(const Plan& plan, const PlaceMachine& machine) const;
   class ClearingTargets;
@@ -706,6 +786,12 @@
   Micros state_ok_ = 0;  // last answer of the state service
   std::unordered_map<std::string, JobEntry> jobs_;
   std::set<std::string> open_jobs_;
+  std::map<std::string, NodeVersion> node_versions_;  // by label
+  bool all_nodes_current_ = false;                    // every node has our version; for good
+  bool publishing_version_ = false;
+  Micros publish_version_after_ = 0;
+  DependencyGraph dependencies_;
+  std::set<std::string> orphans_;  // open jobs that depend on a cancelled one
   Waits waits_;
   Micros waits_at_ = -kSecond;
   bool spread_seen_ = false;  // some service spreads over zones
--- /dev/null
+++ b/src/core/job_records.cc
@@ -0,0 +1,116 @@
+// Commits of job records and of progress, which change no assignment table.
+//
+// Under a state service that takes few changes in a transaction they have transactions of their
+// own, conditional on the leadership record and on the records themselves.
+#include <algorithm>
+#include <utility>
+
+#include "base/ids.h"
+#include "core/core.h"
+#include "core/plan.h"
+
+namespace troutlink {
+
+namespace {
+constexpr int64_t kPagePercent = 60;  // of a value's limit, for the pages of progress
+constexpr int64_t kFullPagePercent = 90;
+constexpr int64_t kMostPages = 64;
+}  // namespace
+
+// Whether the transaction has room for one more write with a condition of its own. Two more
+// conditions are kept for the leadership record and a table's header.
+bool Core::HasRoomForWrite(const StateTxn& txn) const {
+  return static_cast<int>(txn.writes.size()) < Limits().txn_ops &&
+         static_cast<int>(txn.conditions.size()) + 2 < Limits().conditions();
+}
+
+// True: a commit was sent, or waits for its turn to write; no round now.
+bool Core::CommitJobRecords(Micros now, int shard_id) {
+  Shard& shard = ShardAt(shard_id);
+  if (std::exchange(shard.records_committed, false)) return false;  // a round has its turn
+  StateTxn txn;
+  WriteOrphans(shard_id, &txn);
+  bool progress = false;
+  if (shard.assignments.form == TableForm::kCompact) {
+    WriteDoneRecords(now, shard_id, &txn);
+    progress =
+        shard.progress_dirty && now >= shard.progress_at && WriteProgressPages(now, shard_id, &txn);
+  }
+  if (txn.writes.empty()) return false;
+  shard.records_committed = true;
+  return CommitAlone(now, shard_id, shard.assignments, std::move(txn), progress);
+}
+
+// Jobs that depend on a cancelled one. None of their tasks ever started, as the cancelled job
+// will never be done.
+void Core::WriteOrphans(int shard_id, StateTxn* txn) const {
+  for (const std::string& id : orphans_) {
+    if (!HasRoomForWrite(*txn)) return;
+    const JobEntry* job = FindJob(id);
+    if (job == nullptr || job->record.shard_id != shard_id) continue;
+    JobRecord record = job->record;
+    record.state = JobState::kCancelled;
+    WriteJob(id, job->version, record, txn);
+  }
+}
+
+void Core::WriteDoneRecords(Micros now, int shard_id, StateTxn* txn) const {
+  for (const auto& [id, run] : runs_) {
+    if (!HasRoomForWrite(*txn)) return;
+    if (run.shard_id != shard_id || run.done < static_cast<int>(run.tasks.size())) continue;
+    const JobEntry* job = FindJob(id);
+    if (job == nullptr || job->record.state != JobState::kOpen || orphans_.count(id) != 0) continue;
+    WriteJob(id, job->version, DoneRecord(now, *job), txn);
+  }
+}
+
+// Writes pages that changed, as many as there is room for; true if there are any.
+bool Core::WriteProgressPages(Micros now, int shard_id, StateTxn* txn) {
+  Shard& shard = ShardAt(shard_id);
+  const Progress progress = ProgressOf(shard_id);
+  const int64_t page_bytes = Limits().value_bytes * kPagePercent / 100;
+  const auto page_count = static_cast<size_t>(
+      std::clamp(StoredSize(EncodeProgress(progress)) / page_bytes + 1, int64_t{1}, kMostPages));
+  std::vector<Progress> pages(page_count);
+  for (const auto& [id, tasks] : progress) pages[StableHash(id) % page_count][id] = tasks;
+  bool left = false, any = false;
+  for (size_t page = 0; page < page_count; ++page) {
+    std::string value = FittingProgress(std::move(pages[page]));
+    const int index = static_cast<int>(page);
+    if (shard.progress_values[index] == value) continue;
+    if (!HasRoomForWrite(*txn)) {
+      left = true;
+      break;
+    }
+    txn->conditions.push_back({ProgressKey(shard_id, index), shard.progress_versions[index]});
+    txn->writes.push_back({ProgressKey(shard_id, index), std::move(value), 0, false});
+    any = true;
+  }
+  shard.progress_dirty = left;
+  if (!left) shard.progress_at = now + FromSeconds(settings_.op.progress_period_s());
+  return any;
+}
+
+Progress Core::ProgressOf(int shard_id) const {
+  Progress progress;
+  for (const auto& [id, run] : runs_) {
+    if (run.shard_id != shard_id || run.done == 0) continue;
+    std::set<int>& done = progress[id];
+    for (size_t task = 0; task < run.tasks.size(); ++task) {
+      if (run.tasks[task] == kDone) done.insert(static_cast<int>(task));
+    }
+  }
+  return progress;
+}
+
+// Losing progress only repeats work: what does not fit a value is left out.
+std::string Core::FittingProgress(Progress progress) const {
+  std::string value = EncodeProgress(progress);
+  while (StoredSize(value) > Limits().value_bytes * kFullPagePercent / 100 && !progress.empty()) {
+    progress.erase(progress.begin());
+    value = EncodeProgress(progress);
+  }
+  return value;
+}
+
+}  // namespace troutlink
--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -48,7 +48,11 @@
   if (!session_lease_.held()) return;
   for (int shard_id = 0; shard_id < settings_.shard_count(); ++shard_id) {
     Shard& shard = ShardAt(shard_id);
-    if (shard.is_leader || shard.acquiring) continue;
+    if (shard.acquiring) continue;
+    if (shard.is_leader) {
+      CheckOwnLeadership(now, shard_id);
+      continue;
+    }
     if (shard.leadership_version != 0) {
       ReclaimLeadership(now, shard_id);
       continue;
@@ -61,6 +65,17 @@
   }
 }
 
+void Core::CheckOwnLeadership(Micros now, int shard_id) {
+  const Shard& shard = ShardAt(shard_id);
+  const bool ours = shard.leadership.leader == settings_.label && shard.leadership.boot == boot_;
+  if (ours && shard.leadership_version > shard.epoch) {
+    OnElected(now, shard_id, shard.leadership_version);  // the answer was lost
+  } else if (NeedsCompactForm(shard) && !shard.committing && !shard.releasing &&
+             now >= shard.no_election_before) {
+    AcquireLeadership(now, shard_id);
+  }
+}
+
 void Core::ReclaimLeadership(Micros now, int shard_id) {
   const Shard& shard = ShardAt(shard_id);
   if (shard.leadership.leader != settings_.label) return;
@@ -85,17 +100,7 @@
   Shard& shard = ShardAt(shard_id);
   if (!write_budget_.Take(now, 1)) return;
   shard.acquiring = true;
-  StateTxn txn;
-  txn.conditions.push_back({LeadershipKey(shard_id), shard.leadership_version});
-  // The assignment table must be the one that we know.
-  if (shard.chunks.count(0) == 0) {
-    txn.conditions.push_back({AssignmentKey(shard_id, 0), 0});
-    txn.writes.push_back({AssignmentKey(shard_id, 0), EncodeChunk(AssignmentTable(), 0), 0, false});
-  }
-  for (const auto& [index, chunk] : shard.chunks)
-    txn.conditions.push_back({AssignmentKey(shard_id, index), chunk.version});
-  txn.writes.push_back({LeadershipKey(shard_id), EncodeLeadership({settings_.label, boot_}),
-                        session_lease_.id(), false});
+  StateTxn txn = ElectionTxn(shard_id);
   counters_.puts += txn.writes.size();
   Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kStateTimeout,
        [this, shard_id, txn](Micros answered, int status, const std::string& body) {
@@ -108,7 +113,8 @@
            for (const StateWrite& write : txn.writes)
              ApplyPut(answered, write.key, write.value, reply->revision);
            ReindexShards(answered);
-           if (!shard.is_leader) OnElected(answered, shard_id, reply->revision);
+           if (!shard.is_leader || shard.epoch < reply->revision)
+             OnElected(answered, shard_id, reply->revision);
          } else {
            if (status == 400) session_lease_.Drop();  // no such lease: get a new one
            OnElectionFailed(answered, &shard, status == 409);
@@ -116,6 +122,26 @@
        });
 }
 
+// The assignment table must be the one that we know. A table that changes its form does so
+// with the election: what was decided before then does not count any more.
+StateTxn Core::ElectionTxn(int shard_id) const {
+  const Shard& shard = ShardAt(shard_id);
+  StateTxn txn;
+  txn.conditions.push_back({LeadershipKey(shard_id), shard.leadership_version});
+  AddTableConditions(shard_id, &txn);
+  const bool compact = NeedsCompactForm(shard);
+  if (compact) {
+    txn.conditions.push_back({AssignmentKey(shard_id, 0, TableForm::kCompact), 0});
+    txn.writes.push_back({AssignmentKey(shard_id, 0, TableForm::kCompact),
+                          EncodeChunk(FirstCompactTable(shard), 0), 0, false});
+  } else if (shard.chunks.count(0) == 0) {
+    txn.writes.push_back({AssignmentKey(shard_id, 0), EncodeChunk(AssignmentTable(), 0), 0, false});
+  }
+  txn.writes.push_back({LeadershipKey(shard_id), EncodeLeadership({settings_.label, boot_}),
+                        session_lease_.id(), false});
+  return txn;
+}
+
 // Another node was faster, as the watch is about to tell. A node whose replica lacked the
 // leadership record once stood for election ten times a second without end, and took a third
 // of all writes with that.
--- a/src/core/placing.cc
+++ b/src/core/placing.cc
@@ -53,6 +53,9 @@
 // Conditions of a transaction are limited: the leadership, the chunks of this shard and of
 // one other, and some jobs that are done or move take theirs.
 size_t Core::MaxJobsOfRound(int shard_id) const {
+  const auto conditions = static_cast<size_t>(Limits().conditions());
+  // A table is one condition, and each of the few chunks that change.
+  if (all_nodes_current_) return conditions > kOtherConditions ? conditions - kOtherConditions : 1;
   size_t others = 0;
   for (int other_id = 0; other_id < settings_.shard_count(); ++other_id) {
     if (other_id == shard_id) continue;
@@ -60,7 +63,6 @@
   }
   const size_t taken =
       shards_[static_cast<size_t>(shard_id)].chunks.size() + others + kOtherConditions;
-  const size_t conditions = 4 * static_cast<size_t>(settings_.txn_ops);
   return conditions > taken ? conditions - taken : 1;
 }
 
@@ -167,7 +169,7 @@
   const JobRun& run = *waiting.run;
   if (waiting.spec->kind != JobKind::kArray) return false;
   const bool begun = run.done + run.placed > 0;
-  const Micros waited = begun ? now_ - run.last_start : core_.WallNow(now_) - waiting.submitted;
+  const Micros waited = begun ? now_ - run.last_start : core_.WallNow(now_) - waiting.ready_at;
   return waited >= kKeptQuotaPatience;
 }
 
--- a/src/core/plan.h
+++ b/src/core/plan.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/core.h"
@@ -22,10 +23,10 @@
   std::vector<Micros> limits;  // latest starts, one for each aim
   size_t tier;                 // the first of them that can be kept
   double work;                 // cpu seconds that wait
-  Micros submitted;
+  Micros ready_at;             // time of day from which it could start
   int moves;
   bool lost() const { return tier >= limits.size(); }
-  Micros key() const { return lost() ? submitted : limits[tier]; }
+  Micros key() const { return lost() ? ready_at : limits[tier]; }
 };
 
 // A task that may be stopped for more important work.
@@ -58,8 +59,10 @@
   // time: the first ones that a round touches, while it still sees all the others.
   bool windowed = false;
   size_t most_chunks = 0;
-  std::set<int> window;    // chunks that this round changes
-  std::set<int> removals;  // chunks whose turn it is to drop what is gone
+  size_t most_writes = 0;                    // of the transaction
+  std::set<std::pair<int, int>> other_keys;  // chunks of other shards, by shard and chunk
+  std::set<int> window;                      // chunks that this round changes
+  std::set<int> removals;                    // chunks whose turn it is to drop what is gone
   // Free machines of other shards, found when first needed.
   bool acquirable_known = false;
   std::vector<std::pair<int, std::string>> acquirable;
@@ -81,15 +84,41 @@
   bool progress = false;
 
   bool MayChange(const std::string& machine) const {
-    return !windowed || window.size() < most_chunks ||
-           window.count(ChunkOf(machine, assignments.chunks)) != 0;
+    return !windowed || HasRoomForChunk() || window.count(assignments.ChunkOfMachine(machine)) != 0;
+  }
+  // Whether one more chunk may change, of this table and within the transaction.
+  bool HasRoomForChunk() const {
+    return window.size() < most_chunks && window.size() + other_keys.size() < most_writes;
+  }
+  // Whether another shard's header, and a machine's chunk if one is named, may change too.
+  // `machine` comes here with it.
+  bool MayChangeOther(int other_id, const AssignmentTable& other, const std::string& machine) {
+    if (!windowed) return true;
+    std::set<std::pair<int, int>> keys = other_keys;
+    size_t own = window.size();
+    keys.insert({other_id, 0});
+    if (!machine.empty()) {
+      keys.insert({other_id, other.ChunkOfMachine(machine)});
+      own += window.count(assignments.ChunkOfMachine(machine)) == 0 ? 1 : 0;
+    }
+    return own + keys.size() <= most_writes;
+  }
+  void ChangeOther(int other_id, const AssignmentTable& other, const std::string& machine) {
+    other_keys.insert({other_id, 0});
+    if (!machine.empty()) other_keys.insert({other_id, other.ChunkOfMachine(machine)});
+    CloseIfFull();
   }
   // Around every change of a machine's record.
   void Change(const std::string& machine) {
-    if (!windowed || !window.insert(ChunkOf(machine, assignments.chunks)).second) return;
-    if (window.size() < most_chunks) return;
-    for (PlaceMachine& m : machines)
-      m.closed = window.count(ChunkOf(m.name, assignments.chunks)) == 0;
+    if (!windowed || !window.insert(assignments.ChunkOfMachine(machine)).second) return;
+    CloseIfFull();
+  }
+  // Machines of other chunks take nothing in this round once no further chunk may change.
+  void CloseIfFull() {
+    if (!windowed || HasRoomForChunk()) return;
+    for (PlaceMachine& m : machines) {
+      m.closed = window.count(assignments.ChunkOfMachine(m.name)) == 0;
+    }
   }
   // Room on a machine is taken (or, with -1, given back).
   void Occupy(PlaceMachine* m, const JobSpec& spec, int n) {
--- a/src/core/queries.cc
+++ b/src/core/queries.cc
@@ -48,7 +48,7 @@
   if (!state_budget_.Has(now, kQueryReserve)) return;
   std::map<std::string, uint64_t> versions;
   std::vector<Query> batch;
-  const size_t most = 4 * static_cast<size_t>(settings_.txn_ops);
+  const auto most = static_cast<size_t>(Limits().conditions());
   while (!queries_.empty() && versions.size() < most) {
     Query query = std::move(queries_.front());
     queries_.pop_front();
@@ -93,17 +93,24 @@
 
 void Core::FetchJob(Micros now, const std::string& id) {
   if (!state_budget_.Has(now, 1)) return;
+  ReadJob(now, id, [](Micros, bool) {});
+}
+
+void Core::ReadJob(Micros /*now*/, const std::string& id,
+                   std::function<void(Micros now, bool read)> then) {
   // One key is a list that begins just before it; ids differ in their digits,
   // so the prefix may hold longer ones too.
   Send(Dest::kState, "", "GET", wire::ListTarget(JobKey(id), "", 1), "", kUserCallTimeout,
-       [this](Micros answered, int status, const std::string& body) {
+       [this, then = std::move(then)](Micros answered, int status, const std::string& body) {
          std::optional<wire::StatePage> page;
          if (status == 200) page = wire::DecodeList(body);
-         if (!page) return;
-         state_ok_ = answered;
-         for (const StateItem& item : page->items) {
-           ApplyPut(answered, item.key, item.value, item.version);
+         if (page) {
+           state_ok_ = answered;
+           for (const StateItem& item : page->items) {
+             ApplyPut(answered, item.key, item.value, item.version);
+           }
          }
+         then(answered, page.has_value());
        });
 }
 
@@ -131,12 +138,28 @@
   return out;
 }
 
+// Of a job that depends on others the check of its own record does not show that one of those
+// was cancelled: the replica must be recent enough to hold what users were told of them.
+bool Core::KnowsFateOf(Micros now, const JobEntry& entry) const {
+  if (entry.record.state != JobState::kOpen || entry.record.spec.dependencies.empty()) return true;
+  return now - feed_.complete_up_to() < settings_.cancel / 2;
+}
+
 void Core::AnswerQuery(Micros now, const Query& query) {
   const JobEntry* entry = FindJob(query.id);
   if (entry == nullptr) {
     Answer(query.request, 404, wire::EncodeError("no such job"));
     return;
   }
+  if (!KnowsFateOf(now, *entry)) {
+    Answer(query.request, 503, wire::EncodeError("not ready"), kRetryAfter);
+    return;
+  }
+  if (orphans_.count(query.id) != 0) {
+    // Cancelled with another job: told once it is stored.
+    Abort(now, query);
+    return;
+  }
   switch (query.kind) {
     case Query::Kind::kPoll:
       Answer(query.request, 200, wire::EncodeJobStatus(StatusOf(query.id, *entry)));
--- a/src/core/records.cc
+++ b/src/core/records.cc
@@ -1,5 +1,6 @@
 #include "core/records.h"
 
+#include <algorithm>
 #include <bit>
 #include <charconv>
 
@@ -27,11 +28,16 @@
 std::string LeadershipKey(int shard_id) {
   return std::string(kRoot) + "claim/" + std::to_string(shard_id);
 }
-std::string AssignmentKey(int shard_id, int chunk) {
-  return std::string(kRoot) + "roster/" + std::to_string(shard_id) + "/" + std::to_string(chunk);
+std::string AssignmentKey(int shard_id, int chunk, TableForm form) {
+  const std::string family = form == TableForm::kCompact ? "table/" : "roster/";
+  return std::string(kRoot) + family + std::to_string(shard_id) + "/" + std::to_string(chunk);
 }
-std::string ProgressKey(int shard_id) {
-  return std::string(kRoot) + "progress/" + std::to_string(shard_id);
+std::string ProgressKey(int shard_id, int page) {
+  const std::string key = std::string(kRoot) + "progress/" + std::to_string(shard_id);
+  return page == 0 ? key : key + "/" + std::to_string(page);
+}
+std::string NodeVersionKey(std::string_view label) {
+  return std::string(kRoot).append("node/").append(label);
 }
 
 Key ParseKey(std::string_view key) {
@@ -44,15 +50,23 @@
   if (kind == "job") {
     out.kind = Key::Kind::kJob;
     out.id = rest;
-  } else if (kind == "claim" || kind == "progress") {
+  } else if (kind == "node") {
+    out.kind = Key::Kind::kNodeVersion;
+    out.id = rest;
+  } else if (kind == "claim") {
     out.shard_id = ToInt(rest);
-    if (out.shard_id < 0) return out;
-    out.kind = kind == "claim" ? Key::Kind::kLeadership : Key::Kind::kProgress;
-  } else if (kind == "roster") {
-    size_t s = rest.find('/');
-    if (s == std::string_view::npos) return out;
-    out.shard_id = ToInt(rest.substr(0, s));
-    out.chunk = ToInt(rest.substr(s + 1));
+    if (out.shard_id >= 0) out.kind = Key::Kind::kLeadership;
+  } else if (kind == "progress") {
+    const size_t end = rest.find('/');
+    out.shard_id = ToInt(rest.substr(0, end));
+    if (end != std::string_view::npos) out.chunk = ToInt(rest.substr(end + 1));
+    if (out.shard_id >= 0 && out.chunk >= 0) out.kind = Key::Kind::kProgress;
+  } else if (kind == "roster" || kind == "table") {
+    const size_t end = rest.find('/');
+    if (end == std::string_view::npos) return out;
+    out.form = kind == "table" ? TableForm::kCompact : TableForm::kOriginal;
+    out.shard_id = ToInt(rest.substr(0, end));
+    out.chunk = ToInt(rest.substr(end + 1));
     if (out.shard_id >= 0 && out.chunk >= 0) out.kind = Key::Kind::kAssignments;
   }
   return out;
@@ -69,6 +83,7 @@
   }
   // Final states are kept for ever, so they are kept small: what is needed to
   // answer, and to count its tasks that may still be on machines.
+  if (job.finished != 0) out["finished"] = job.finished;
   const JobSpec& s = job.spec;
   out["end"] = Json::array({s.id, s.tasks, static_cast<int>(s.kind), s.team, s.each.cpus,
                             s.each.gpus, s.each.memory, s.save, s.checkpoint});
@@ -79,7 +94,8 @@
   std::optional<Json> doc = wire::Unpack(value);
   if (!doc) return std::nullopt;
   std::optional<uint64_t> shard_id = wire::Count(*doc, "part"), state = wire::Count(*doc, "state"),
-                          submitted = wire::Count(*doc, "submitted");
+                          submitted = wire::Count(*doc, "submitted"),
+                          finished = wire::Count(*doc, "finished");
   if (!shard_id || !state || *state > 2) return std::nullopt;
   JobRecord job;
   job.shard_id = static_cast<int>(*shard_id);
@@ -92,6 +108,7 @@
     job.moves = static_cast<int>(wire::Count(*doc, "moves").value_or(0));
     return job;
   }
+  job.finished = static_cast<Micros>(finished.value_or(0));
   const Json* end = wire::Find(*doc, "end");
   if (end == nullptr || job.state == JobState::kOpen) return std::nullopt;
   try {
@@ -134,6 +151,14 @@
   return static_cast<int>(n - std::bit_floor(n));
 }
 
+int AssignmentTable::ChunkOfMachine(const std::string& machine) const {
+  return form == TableForm::kCompact ? 1 + ChunkOf(machine, chunks - 1) : ChunkOf(machine, chunks);
+}
+
+int AssignmentTable::ChunkToSplit() const {
+  return form == TableForm::kCompact ? 1 + SplitChunk(chunks - 1) : SplitChunk(chunks);
+}
+
 namespace {
 
 // Texts that many machines share are written once, in front.
@@ -164,7 +189,7 @@
   std::string body;
   uint64_t count = 0;
   for (const auto& [name, m] : assignments.machines) {
-    if (ChunkOf(name, assignments.chunks) != chunk) continue;
+    if (assignments.ChunkOfMachine(name) != chunk) continue;
     ++count;
     PutTextDigits(&body, name);
     PutTextDigits(&body, m.addr);
@@ -240,6 +265,7 @@
   Json out = {{"m", EncodeMachines(assignments, chunk)}};
   if (chunk == 0) {
     out["n"] = assignments.chunks;
+    if (assignments.Migrating()) out["from"] = assignments.unmigrated_from;
     out["next"] = assignments.next_number;
     Json rentals = Json::array(), shares = Json::object(), helps = Json::object();
     for (const auto& [id, h] : assignments.rentals) {
@@ -262,6 +288,7 @@
     if (!DecodeMachines(doc->at("m").get_ref<const std::string&>(), assignments)) return false;
     if (chunk != 0) return true;
     assignments->chunks = doc->at("n").get<int>();
+    assignments->unmigrated_from = doc->value("from", 0);
     assignments->next_number = doc->at("next").get<uint64_t>();
     for (const Json& h : doc->at("hires")) {
       Rental rental;
@@ -289,6 +316,21 @@
              : 0;
 }
 
+int ChunksForCompactForm(const AssignmentTable& assignments, int64_t most_bytes) {
+  constexpr int kMostChunks = 1024;
+  AssignmentTable compact = assignments;
+  compact.form = TableForm::kCompact;
+  // The next power of two divides all chunks alike.
+  for (compact.chunks = 1 + 4; compact.chunks < kMostChunks; compact.chunks += compact.chunks - 1) {
+    int64_t largest = 0;
+    for (int chunk = 1; chunk < compact.chunks; ++chunk) {
+      largest = std::max(largest, StoredSize(EncodeChunk(compact, chunk)));
+    }
+    if (largest <= most_bytes) break;
+  }
+  return compact.chunks;
+}
+
 std::string EncodeProgress(const Progress& progress) {
   Json out = Json::object();
   for (const auto& [job, done] : progress) {
@@ -307,6 +349,13 @@
   return wire::Pack(out);
 }
 
+std::string EncodeNodeVersion(uint64_t version) { return wire::Pack(Json{{"version", version}}); }
+
+std::optional<uint64_t> DecodeNodeVersion(std::string_view value) {
+  std::optional<Json> doc = wire::Unpack(value);
+  return doc && doc->is_object() ? wire::Count(*doc, "version") : std::nullopt;
+}
+
 std::optional<Progress> DecodeProgress(std::string_view value) {
   std::optional<Json> doc = wire::Unpack(value);
   if (!doc || !doc->is_object()) return std::nullopt;
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -19,14 +19,29 @@
 
 std::string JobKey(std::string_view id);
 std::string LeadershipKey(int shard_id);
-std::string AssignmentKey(int shard_id, int chunk);
-std::string ProgressKey(int shard_id);
+// The two forms of an assignment table. In the original form the header, which is everything
+// but machines, shares the value of chunk 0 with machines. In the compact form, for a state
+// service that holds small values only, chunk 0 is the header alone.
+enum class TableForm { kOriginal, kCompact };
+std::string AssignmentKey(int shard_id, int chunk, TableForm form = TableForm::kOriginal);
+// Progress of a shard is divided into pages; versions before 2 know page 0 alone.
+std::string ProgressKey(int shard_id, int page = 0);
+// Where a node stores the version of the stored forms that it reads and writes.
+std::string NodeVersionKey(std::string_view label);
 
 struct Key {
-  enum class Kind { kJob, kLeadership, kAssignments, kProgress, kOther } kind = Kind::kOther;
-  std::string id;  // jobs
+  enum class Kind {
+    kJob,
+    kLeadership,
+    kAssignments,
+    kProgress,
+    kNodeVersion,
+    kOther,
+  } kind = Kind::kOther;
+  std::string id;  // jobs, or the label of a node
   int shard_id = 0;
-  int chunk = 0;
+  int chunk = 0;  // or the page of progress
+  TableForm form = TableForm::kOriginal;
 };
 Key ParseKey(std::string_view key);
 
@@ -36,6 +51,7 @@
   JobState state = JobState::kOpen;
   Micros submitted = 0;  // time of day
   int moves = 0;         // from shard to shard; bounded, or full shards would pass it around
+  Micros finished = 0;   // time of day at which it was found done; 0: not known
 };
 std::string EncodeJob(const JobRecord& job);
 std::optional<JobRecord> DecodeJob(std::string_view value);
@@ -91,13 +107,23 @@
 };
 
 struct AssignmentTable {
-  int chunks = 1;
+  TableForm form = TableForm::kOriginal;
+  int chunks = 1;  // with the header of the compact form
+  // Compact form: the machines of this chunk and of all later ones are still to be read from
+  // the table's original form; 0: none are.
+  int unmigrated_from = 0;
   uint64_t next_number = 1;  // attempts and rental requests
   std::map<std::string, AssignedMachine> machines;
   std::map<std::string, Rental> rentals;
   std::map<std::string, Share> shares;  // by team; absent: the equal share
   std::map<std::string, Help> helps;    // by job
   bool operator==(const AssignmentTable&) const = default;
+
+  // The chunk that stores a machine of that name.
+  int ChunkOfMachine(const std::string& machine) const;
+  // The chunk whose machines are divided when there is one more.
+  int ChunkToSplit() const;
+  bool Migrating() const { return unmigrated_from != 0; }
 };
 
 // The record of chunk 0 also holds everything but machines; machines are spread
@@ -107,6 +133,9 @@
 int SplitChunk(int chunks);
 std::string EncodeChunk(const AssignmentTable& assignments, int chunk);
 bool DecodeChunk(std::string_view value, int chunk, AssignmentTable* assignments);
+// The smallest number of chunks, of the compact form, with which each chunk of these machines
+// has at most that size.
+int ChunksForCompactForm(const AssignmentTable& assignments, int64_t most_bytes);
 // Size of a stored value as the state service counts it.
 int64_t StoredSize(std::string_view value);
 
@@ -115,6 +144,12 @@
 std::string EncodeProgress(const Progress& progress);
 std::optional<Progress> DecodeProgress(std::string_view value);
 
+// The version of the stored forms. Version 2 knows dependencies of jobs, the compact form of
+// assignment tables and pages of progress. A node without a record has version 1.
+inline constexpr uint64_t kStoredFormVersion = 2;
+std::string EncodeNodeVersion(uint64_t version);
+std::optional<uint64_t> DecodeNodeVersion(std::string_view value);
+
 }  // namespace troutlink
 
 #endif  // TROUTLINK_CORE_RECORDS_H_
--- a/src/core/rental_planner.cc
+++ b/src/core/rental_planner.cc
@@ -121,7 +121,7 @@
   const JobSpec& spec = *unplaced.spec;
   const JobEntry* job = core_.FindJob(spec.id);
   const Micros wait = spot_cpus_ <= 0 ? kNoEnd : FromSeconds(cpus_ahead_ / spot_cpus_);
-  const Micros latest = job == nullptr ? 0 : core_.LatestStart(job->record);
+  const Micros latest = job == nullptr ? 0 : core_.LatestStart(*job);
   if (core_.WallNow(now_) + wait < latest) return 0;
   const Micros time = latest - core_.WallNow(now_) - type.boot;
   const Micros each = std::max<Micros>(kSecond, spec.estimate * 5 / 4);
--- a/src/core/replica.cc
+++ b/src/core/replica.cc
@@ -1,6 +1,7 @@
 // The replica: a copy of the state service's content, fed by one list and then
 // one watch, and by our own commits.
 #include <algorithm>
+#include <utility>
 
 #include "core/core.h"
 
@@ -11,6 +12,8 @@
 constexpr Micros kListTimeout = 2 * kSecond;
 constexpr double kWatchReserve = 20;  // requests
 constexpr int kListLimit = 500;
+// In place of the number of a chunk, for machines that only the original form of a table has.
+constexpr int kOriginalChunk = -1;
 const std::string kTypesKey = std::string(kRoot) + "types";
 }  // namespace
 
@@ -66,6 +69,11 @@
     const uint64_t version = ShardAt(shard_id).leadership_version;
     if (version != 0) check(LeadershipKey(shard_id), version);
   }
+  for (int shard_id = 0; shard_id < settings_.shard_count(); ++shard_id) {
+    for (const auto& [index, chunk] : ShardAt(shard_id).original_chunks) {
+      check(AssignmentKey(shard_id, index), chunk.version);
+    }
+  }
   for (const std::string& key : gone) ApplyErase(now, key, feed_.list_revision());
 }
 
@@ -135,11 +143,12 @@
       if (known_shard) ApplyLeadership(now, key.shard_id, value, version);
       return;
     case Key::Kind::kAssignments:
-      if (known_shard) ApplyChunk(now, key.shard_id, key.chunk, value, version);
+      if (known_shard) ApplyChunk(now, key, value, version);
       return;
     case Key::Kind::kProgress:
-      if (known_shard) ApplyProgress(key.shard_id, value, version);
+      if (known_shard) ApplyProgress(key.shard_id, key.chunk, value, version);
       return;
+    case Key::Kind::kNodeVersion: ApplyNodeVersion(key.id, value, version); return;
     case Key::Kind::kOther:
       if (name == kTypesKey) ApplyTypes(value);
       return;
@@ -157,6 +166,7 @@
   JobEntry& entry = jobs_[id];
   entry.record = std::move(*record);
   entry.version = version;
+  entry.own_priority = entry.record.spec.priority;
   const JobSpec& spec = entry.record.spec;
   if (spec.kind == JobKind::kService) {
     service_teams_.insert(spec.team);
@@ -164,8 +174,10 @@
     spread_seen_ = spread_seen_ || spec.spread;
   }
   if (entry.record.state == JobState::kOpen) {
+    NoteOpenJob(id);
     ApplyOpenJob(id, entry);
   } else {
+    NoteFinishedJob(id);
     ApplyFinishedJob(now, id, &entry);
   }
 }
@@ -195,6 +207,7 @@
   }
   health_.ForgetJob(id);
   const int shard_id = entry->record.shard_id;
+  if (shard_id >= 0 && shard_id < settings_.shard_count()) ShardAt(shard_id).progress.erase(id);
   if (LeadsShard(shard_id)) {
     StopJob(now, id);
     MarkDirty(shard_id);
@@ -222,13 +235,18 @@
   }
 }
 
-void Core::ApplyProgress(int shard_id, const std::string& value, uint64_t version) {
+// What was done once stays done: pages of any age add up, however they divide the jobs.
+void Core::ApplyProgress(int shard_id, int page, const std::string& value, uint64_t version) {
   Shard& shard = ShardAt(shard_id);
-  if (shard.progress_version >= version) return;
+  uint64_t& known = shard.progress_versions[page];
+  if (known >= version) return;
   std::optional<Progress> progress = DecodeProgress(value);
   if (!progress) return;
-  shard.progress_version = version;
-  shard.progress = std::move(*progress);
+  known = version;
+  shard.progress_values[page] = value;
+  for (auto& [id, tasks] : *progress) {
+    if (open_jobs_.count(id) != 0) shard.progress[id].merge(tasks);
+  }
 }
 
 void Core::ApplyTypes(const std::string& value) {
@@ -247,6 +265,10 @@
     // An ended leadership names nobody.
     if (shard.rival_epoch <= version) shard.rival_leader.clear();
     if (shard.is_leader) LoseLeadership(now, key.shard_id, "leadership expired");
+  } else if (key.kind == Key::Kind::kAssignments && key.form == TableForm::kOriginal &&
+             key.shard_id < settings_.shard_count()) {
+    // Chunks are erased only once the compact form has all of their machines.
+    ShardAt(key.shard_id).original_chunks.erase(key.chunk);
   } else if (key.kind == Key::Kind::kJob) {
     // Job records are never deleted by the service.
     Log(LogLine::Level::kError, "job record deleted: " + name);
@@ -255,41 +277,107 @@
 
 // Only the machines of this chunk are replaced. When the number of chunks
 // grows, the divided one and the new one arrive together, in either order.
-void Core::ApplyChunk(Micros now, int shard_id, int index, const std::string& value,
-                      uint64_t version) {
-  Shard& shard = ShardAt(shard_id);
-  Chunk& chunk = shard.chunks[index];
+void Core::ApplyChunk(Micros now, const Key& key, const std::string& value, uint64_t version) {
+  Shard& shard = ShardAt(key.shard_id);
+  if (key.form == TableForm::kCompact) {
+    BeginCompactForm(&shard);
+  } else if (shard.assignments.form == TableForm::kCompact) {
+    ApplyOriginalChunk(now, key, value, version);
+    return;
+  }
+  Chunk& chunk = shard.chunks[key.chunk];
   if (chunk.version >= version) return;
   chunk.version = version;
+  chunk.bytes = value.size();
   AssignmentTable next;
-  if (!DecodeChunk(value, index, &next)) {
-    Log(LogLine::Level::kError, "unreadable assignment table of shard " + std::to_string(shard_id));
+  if (!DecodeChunk(value, key.chunk, &next)) {
+    Log(LogLine::Level::kError,
+        "unreadable assignment table of shard " + std::to_string(key.shard_id));
     return;
   }
   for (const std::string& name : chunk.names) {
     auto chunk_of = shard.chunk_of.find(name);
-    if (chunk_of != shard.chunk_of.end() && chunk_of->second == index &&
+    if (chunk_of != shard.chunk_of.end() && chunk_of->second == key.chunk &&
         next.machines.count(name) == 0) {
-      RemoveMachine(now, shard_id, name);
+      RemoveMachine(now, key.shard_id, name);
     }
   }
   chunk.names.clear();
   for (auto& [name, machine] : next.machines) {
     chunk.names.push_back(name);
-    shard.chunk_of[name] = index;
-    PutMachine(now, shard_id, std::move(machine));
-  }
-  if (index == 0) {
-    shard.assignments.chunks = next.chunks;
-    shard.assignments.next_number = next.next_number;
-    shard.assignments.rentals = std::move(next.rentals);
-    shard.assignments.shares = std::move(next.shares);
-    shard.assignments.helps = std::move(next.helps);
+    shard.chunk_of[name] = key.chunk;
+    PutMachine(now, key.shard_id, std::move(machine));
   }
+  if (key.chunk == 0) ApplyHeader(now, key.shard_id, std::move(next));
   shard.changed_at = now;
   shard.sync_due = true;
 }
 
+void Core::ApplyHeader(Micros now, int shard_id, AssignmentTable header) {
+  AssignmentTable& table = ShardAt(shard_id).assignments;
+  table.chunks = header.chunks;
+  table.unmigrated_from = header.unmigrated_from;
+  table.next_number = header.next_number;
+  table.rentals = std::move(header.rentals);
+  table.shares = std::move(header.shares);
+  table.helps = std::move(header.helps);
+  DropMigratedMachines(now, shard_id);
+}
+
+void Core::BeginCompactForm(Shard* shard) {
+  if (shard->assignments.form == TableForm::kCompact) return;
+  shard->assignments.form = TableForm::kCompact;
+  shard->original_chunks = std::exchange(shard->chunks, {});
+  shard->original_machines = shard->assignments.machines;
+  for (auto& [name, chunk] : shard->chunk_of) chunk = kOriginalChunk;
+}
+
+// A list that is read page by page may show a chunk as it was before the compact form began.
+void Core::ApplyOriginalChunk(Micros now, const Key& key, const std::string& value,
+                              uint64_t version) {
+  Shard& shard = ShardAt(key.shard_id);
+  Chunk& chunk = shard.original_chunks[key.chunk];
+  if (chunk.version >= version) return;
+  chunk.version = version;
+  AssignmentTable next;
+  if (!DecodeChunk(value, key.chunk, &next)) return;
+  for (const std::string& name : chunk.names) {
+    if (next.machines.count(name) != 0) continue;
+    shard.original_machines.erase(name);
+    auto chunk_of = shard.chunk_of.find(name);
+    if (chunk_of != shard.chunk_of.end() && chunk_of->second == kOriginalChunk) {
+      RemoveMachine(now, key.shard_id, name);
+    }
+  }
+  chunk.names.clear();
+  const AssignmentTable& table = shard.assignments;
+  for (auto& [name, machine] : next.machines) {
+    chunk.names.push_back(name);
+    if (!table.Migrating() || table.ChunkOfMachine(name) < table.unmigrated_from) continue;
+    shard.original_machines[name] = machine;
+    shard.chunk_of[name] = kOriginalChunk;
+    PutMachine(now, key.shard_id, std::move(machine));
+  }
+  shard.sync_due = true;
+}
+
+void Core::DropMigratedMachines(Micros now, int shard_id) {
+  Shard& shard = ShardAt(shard_id);
+  const AssignmentTable& table = shard.assignments;
+  for (auto it = shard.original_machines.begin(); it != shard.original_machines.end();) {
+    const std::string name = it->first;
+    if (table.Migrating() && table.ChunkOfMachine(name) >= table.unmigrated_from) {
+      ++it;
+      continue;
+    }
+    it = shard.original_machines.erase(it);
+    auto chunk_of = shard.chunk_of.find(name);
+    if (chunk_of != shard.chunk_of.end() && chunk_of->second == kOriginalChunk) {
+      RemoveMachine(now, shard_id, name);
+    }
+  }
+}
+
 void Core::RemoveMachine(Micros now, int shard_id, const std::string& name) {
   Shard& shard = ShardAt(shard_id);
   shard.chunk_of.erase(name);
--- a/src/core/rounds.cc
+++ b/src/core/rounds.cc
@@ -15,7 +15,8 @@
 constexpr double kRoundShare = 0.25;  // of the processor that we have
 constexpr int64_t kHurry = 3;         // rounds of critical work come so much sooner
 constexpr int kMaxChunksAtOnce = 4;
-constexpr size_t kMaxDone = 8;  // jobs that one round calls done
+constexpr size_t kMaxDone = 8;        // jobs that one round calls done
+constexpr int kWritesBesideDone = 4;  // of its transaction, for the rest
 constexpr Micros kStateLogPeriod = 5 * kSecond;
 }  // namespace
 
@@ -83,7 +84,7 @@
 void Core::MachineCame(Micros now, const Shard& shard, const AssignedMachine& machine,
                        MachineInfo* info) {
   info->assigned_epoch = shard.epoch;
-  auto chunk = shard.chunks.find(ChunkOf(machine.name, shard.assignments.chunks));
+  auto chunk = shard.chunks.find(shard.assignments.ChunkOfMachine(machine.name));
   uint64_t revision = shard.epoch;
   if (chunk != shard.chunks.end()) revision = std::max(revision, chunk->second.version);
   info->fencing_token = std::max(info->fencing_token, TokenForEpoch(revision));
@@ -154,7 +155,6 @@
 void Core::BeginPlan(Micros now, int shard_id, Plan* plan) const {
   const Shard& shard = shards_[static_cast<size_t>(shard_id)];
   AssignmentTable& assignments = plan->assignments;
-  assignments.chunks = shard.assignments.chunks;
   assignments.next_number = shard.assignments.next_number;
   assignments.rentals = shard.assignments.rentals;
   assignments.shares = shard.assignments.shares;
@@ -164,7 +164,7 @@
   for (const MachineUse& use : shard.machine_use) {
     const AssignedMachine& m = *use.machine;
     const bool may =
-        !plan->windowed || plan->removals.count(ChunkOf(m.name, plan->assignments.chunks)) != 0;
+        !plan->windowed || plan->removals.count(plan->assignments.ChunkOfMachine(m.name)) != 0;
     if (may && returned_.count(m.name) != 0) {
       plan->Change(m.name);
       continue;
@@ -262,11 +262,17 @@
 void Core::RunRounds(Micros now) {
   for (int shard_id = 0; shard_id < settings_.shard_count(); ++shard_id) {
     Shard& shard = shards_[static_cast<size_t>(shard_id)];
-    if (!shard.is_leader || shard.committing || shard.releasing || now < shard.not_before ||
-        types_.empty())
+    if (!shard.is_leader || shard.acquiring || shard.committing || shard.releasing ||
+        now < shard.not_before || types_.empty()) {
       continue;
-    bool due = shard.dirty || now - shard.last_commit > kIdleRound;
-    if (due) Round(now, shard_id);
+    }
+    const bool due = shard.dirty || now - shard.last_commit > kIdleRound;
+    if (!due) continue;
+    if (MaintainTable(now, shard_id) || CommitJobRecords(now, shard_id)) {
+      shard.dirty = true;
+    } else {
+      Round(now, shard_id);
+    }
   }
 }
 
@@ -278,6 +284,7 @@
   shard.round_at = now;
   shard.not_before = now + RoundPace(shard);
   Plan plan;
+  plan.assignments.form = shard.assignments.form;
   plan.assignments.chunks = shard.assignments.chunks;
   ChooseWindow(&shard, &plan);
   BeginPlan(now, shard_id, &plan);
@@ -295,16 +302,11 @@
   PlanRentals(now, shard_id, &plan);
   PlanReturns(now, shard_id, &plan);
   Consolidate(now, shard_id, &plan);
-  for (auto& [id, run] : runs_) {
-    if (run.shard_id != shard_id || run.done < static_cast<int>(run.tasks.size())) continue;
-    if (static_cast<int>(plan.done.size()) + 4 >= settings_.txn_ops ||
-        plan.done.size() >= kMaxDone) {
-      break;
-    }
-    plan.done.push_back(id);
-    plan.urgent = true;
+  // With the compact form these have commits of their own (CommitJobRecords).
+  if (shard.assignments.form == TableForm::kOriginal) {
+    FindDoneJobs(shard_id, &plan);
+    plan.progress = shard.progress_dirty && now >= shard.progress_at;
   }
-  plan.progress = shard.progress_dirty && now >= shard.progress_at;
   if (now >= shard.next_state_log) {
     shard.next_state_log = now + kStateLogPeriod;
     LogShardState(shard_id, plan);
@@ -312,6 +314,18 @@
   Commit(now, shard_id, &plan);
 }
 
+void Core::FindDoneJobs(int shard_id, Plan* plan) const {
+  for (const auto& [id, run] : runs_) {
+    if (run.shard_id != shard_id || run.done < static_cast<int>(run.tasks.size())) continue;
+    if (static_cast<int>(plan->done.size()) + kWritesBesideDone >= Limits().txn_ops ||
+        plan->done.size() >= kMaxDone) {
+      return;
+    }
+    plan->done.push_back(id);
+    plan->urgent = true;
+  }
+}
+
 // What a shard has and lacks, for whoever reads the log.
 void Core::LogShardState(int shard_id, const Plan& plan) {
   int usable = 0, waiting = 0, services = 0;
@@ -365,8 +379,10 @@
 // A transaction holds so many changes and so many bytes. An assignment table of more
 // chunks than that is changed a few chunks at a time, in turn.
 void Core::ChooseWindow(Shard* shard, Plan* plan) const {
-  const int most = shard->narrow > 0 ? 2 : std::clamp(settings_.txn_ops / 2, 3, kMaxChunksAtOnce);
+  const int ops = Limits().txn_ops;
+  const int most = shard->narrow > 0 ? 2 : std::clamp(ops / 2, 3, kMaxChunksAtOnce);
   if (shard->narrow > 0) --shard->narrow;
+  plan->most_writes = static_cast<size_t>(ops);
   if (plan->assignments.chunks <= most) return;
   plan->windowed = true;
   plan->most_chunks = static_cast<size_t>(most);
--- a/src/core/shard_choice.cc
+++ b/src/core/shard_choice.cc
@@ -30,6 +30,7 @@
   for (const std::string& id : open_jobs_) {
     const JobRecord& record = jobs_.at(id).record;
     if (record.shard_id < 0 || record.shard_id >= settings_.shard_count()) continue;
+    if (jobs_.at(id).blocked) continue;
     const int64_t waiting = WaitingTasks(id, record);
     if (waiting > 0) AddWaiting(record.shard_id, record.spec, waiting);
   }
--- a/src/core/submissions.cc
+++ b/src/core/submissions.cc
@@ -53,30 +53,89 @@
   }
   // Acceptance comes before all other writes: it only stops when the node is
   // deep in debt, and otherwise lets the service itself say that it is too much.
-  if (write_budget_.have() < -settings_.write_rps / 2) {
+  if (write_budget_.have() < -Limits().write_rps / 2) {
     ++counters_.refused;
     Answer(request.id, 429, wire::EncodeError("too many submissions"), SpreadRetry(spec->id));
     return;
   }
+  if (!spec->dependencies.empty()) {
+    // A node of version 1 would start the job's tasks at once.
+    if (!all_nodes_current_) {
+      ++counters_.refused;
+      Answer(request.id, 503, wire::EncodeError("not all nodes know dependencies yet"),
+             kRetryAfter);
+      return;
+    }
+    ResolveDependencies(now, query, std::move(*spec));
+    return;
+  }
   StoreJob(now, query, std::move(*spec));
 }
 
+std::string Core::BadDependency(const JobSpec& spec) const {
+  for (const std::string& id : spec.dependencies) {
+    const JobEntry* job = FindJob(id);
+    if (job != nullptr && job->record.spec.kind == JobKind::kService) {
+      return "services are never done: " + id;
+    }
+  }
+  return "";
+}
+
+// A job that the replica lacks may have been accepted a moment ago, by another node: what the
+// state service says of it counts.
+void Core::ResolveDependencies(Micros now, const Query& query, JobSpec spec) {
+  auto unknown = std::find_if(spec.dependencies.begin(), spec.dependencies.end(),
+                              [this](const std::string& id) { return FindJob(id) == nullptr; });
+  if (unknown == spec.dependencies.end()) {
+    const std::string why = BadDependency(spec);
+    if (why.empty()) {
+      StoreJob(now, query, std::move(spec));
+    } else {
+      Answer(query.request, 422, wire::EncodeError(why));
+    }
+    return;
+  }
+  const std::string id = *unknown;
+  if (!IsJobId(id) || id == spec.id) {
+    Answer(query.request, 422, wire::EncodeError("never accepted: " + id));
+    return;
+  }
+  ReadJob(now, id, [this, query, spec = std::move(spec), id](Micros answered, bool read) {
+    if (!read) {
+      ++counters_.refused;
+      Answer(query.request, 503, wire::EncodeError("state service does not answer"), kRetryAfter);
+    } else if (FindJob(id) == nullptr) {
+      Answer(query.request, 422, wire::EncodeError("never accepted: " + id));
+    } else {
+      ResolveDependencies(answered, query, spec);
+    }
+  });
+}
+
 // Not all of them back at the same moment.
 int Core::SpreadRetry(const std::string& id) {
   return kRetryAfter + static_cast<int>(StableHash(id) % kRetrySpread);
 }
 
 void Core::StoreJob(Micros now, const Query& query, JobSpec spec) {
-  write_budget_.Force(now, 1);
   JobRecord record;
   record.shard_id = ShardForJob(spec);
-  // The next one of a burst sees this one wait there.
-  AddWaiting(record.shard_id, spec, spec.tasks);
   record.submitted = WallNow(now);
   record.spec = std::move(spec);
+  std::string value = EncodeJob(record);
+  if (StoredSize(value) > settings_.next_state_limits.value_bytes) {
+    Answer(query.request, 422, wire::EncodeError("larger than the state service can hold"));
+    return;
+  }
+  write_budget_.Force(now, 1);
+  // The next one of a burst sees this one wait there.
+  if (record.spec.dependencies.empty()) {
+    AddWaiting(record.shard_id, record.spec, record.spec.tasks);
+  }
   StateTxn txn;
   txn.conditions.push_back({JobKey(query.id), 0});
-  txn.writes.push_back({JobKey(query.id), EncodeJob(record), 0, false});
+  txn.writes.push_back({JobKey(query.id), std::move(value), 0, false});
   ++counters_.puts;
   Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kUserCallTimeout,
        [this, query, write = txn.writes[0], job_class = record.spec.job_class](
--- /dev/null
+++ b/src/core/table_form.cc
@@ -0,0 +1,135 @@
+// The form in which an assignment table is stored: its change from the original to the compact
+// form, and the growth of the latter.
+//
+// A state service that holds small values only takes neither a chunk of the original form nor a
+// transaction that divides one. A table changes its form in steps:
+//   1. Its leader is elected anew, in a transaction that also writes the header of the compact
+//      form. Every commit to a table is conditional on its leadership record, so none that was
+//      decided before is carried out after that, and the original form is final.
+//   2. Each further commit writes some chunks of the compact form with the machines that belong
+//      there, and in the header the number of the next chunk. Until then readers take a
+//      machine from the original form.
+//   3. The original form is erased.
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "core/core.h"
+#include "core/plan.h"
+
+namespace troutlink {
+
+namespace {
+// With values below this size a table is stored in the compact form.
+constexpr int64_t kCompactBelowBytes = int64_t{8} * 1024;
+// Of a value's limit: so full may the largest chunk be at first, and before there is one more.
+constexpr int64_t kFirstFillPercent = 50;
+constexpr int64_t kGrowPercent = 60;
+constexpr int kFirstChunks = 1 + 4;
+constexpr int kMostChunks = 1024;
+}  // namespace
+
+bool Core::NeedsCompactForm(const Shard& shard) const {
+  return all_nodes_current_ && shard.assignments.form == TableForm::kOriginal &&
+         Limits().value_bytes < kCompactBelowBytes;
+}
+
+// Whether another shard may change this one's table: not while it changes its form.
+bool Core::MayChangeTable(const Shard& shard) const {
+  return shard.chunks.count(0) != 0 && !shard.assignments.Migrating() && !NeedsCompactForm(shard);
+}
+
+// The table as its compact form begins, with all machines still in the original form.
+AssignmentTable Core::FirstCompactTable(const Shard& shard) const {
+  AssignmentTable table = shard.assignments;
+  table.form = TableForm::kCompact;
+  if (shard.chunks.empty()) {
+    table.chunks = kFirstChunks;
+    return table;
+  }
+  const int64_t most = Limits().value_bytes * kFirstFillPercent / 100;
+  table.chunks = ChunksForCompactForm(shard.assignments, most);
+  table.unmigrated_from = 1;
+  // A header that is too large loses the credits of tails, which are then granted anew.
+  if (StoredSize(EncodeChunk(table, 0)) > Limits().value_bytes) table.helps.clear();
+  return table;
+}
+
+// One commit for the form of the table, if there is something to do. True: no round now.
+bool Core::MaintainTable(Micros now, int shard_id) {
+  Shard& shard = ShardAt(shard_id);
+  if (shard.assignments.form != TableForm::kCompact) return false;
+  if (shard.assignments.Migrating()) return MigrateTable(now, shard_id);
+  if (std::exchange(shard.maintained, false)) return false;  // a round has its turn
+  shard.maintained = GrowTable(now, shard_id) || EraseOriginalForm(now, shard_id);
+  return shard.maintained;
+}
+
+bool Core::MigrateTable(Micros now, int shard_id) {
+  AssignmentTable next = ShardAt(shard_id).assignments;
+  const int first = next.unmigrated_from;
+  const int end = std::min(next.chunks, first + Limits().txn_ops - 1);
+  next.unmigrated_from = end == next.chunks ? 0 : end;
+  StateTxn txn;
+  for (int chunk = first; chunk < end; ++chunk) {
+    txn.writes.push_back(
+        {AssignmentKey(shard_id, chunk, next.form), EncodeChunk(next, chunk), 0, false});
+  }
+  txn.writes.push_back({AssignmentKey(shard_id, 0, next.form), EncodeChunk(next, 0), 0, false});
+  return CommitAlone(now, shard_id, std::move(next), std::move(txn));
+}
+
+bool Core::EraseOriginalForm(Micros now, int shard_id) {
+  const Shard& shard = ShardAt(shard_id);
+  if (shard.original_chunks.empty()) return false;
+  StateTxn txn;
+  for (const auto& [index, chunk] : shard.original_chunks) {
+    if (!HasRoomForWrite(txn)) break;
+    txn.writes.push_back({AssignmentKey(shard_id, index), "", 0, true});
+  }
+  return CommitAlone(now, shard_id, shard.assignments, std::move(txn));
+}
+
+// One more chunk, before the fullest one is too full to be divided in one transaction.
+bool Core::GrowTable(Micros now, int shard_id) {
+  const Shard& shard = ShardAt(shard_id);
+  size_t largest = 0;
+  for (const auto& [index, chunk] : shard.chunks) {
+    if (index != 0) largest = std::max(largest, chunk.bytes);
+  }
+  const int64_t most = Limits().value_bytes * kGrowPercent / 100;
+  if (static_cast<int64_t>(largest) <= most || shard.assignments.chunks >= kMostChunks) {
+    return false;
+  }
+  AssignmentTable next = shard.assignments;
+  const int divided = next.ChunkToSplit();
+  const int added = next.chunks++;
+  StateTxn txn;
+  for (int chunk : {0, divided, added}) {
+    txn.writes.push_back(
+        {AssignmentKey(shard_id, chunk, next.form), EncodeChunk(next, chunk), 0, false});
+  }
+  return CommitAlone(now, shard_id, std::move(next), std::move(txn));
+}
+
+// Commits writes that no round decided; `assignments` is the table with them. True also if there
+// is no budget for them now: they come first. `progress`: pages of progress are among them.
+bool Core::CommitAlone(Micros now, int shard_id, AssignmentTable assignments, StateTxn txn,
+                       bool progress) {
+  Plan plan;
+  plan.urgent = true;
+  plan.progress = progress;
+  if (!TakeWrites(now, shard_id, plan, txn.writes.size())) {
+    if (progress) ShardAt(shard_id).progress_dirty = true;
+    return true;
+  }
+  plan.assignments = std::move(assignments);
+  txn.conditions.push_back({LeadershipKey(shard_id), ShardAt(shard_id).epoch});
+  AddHeaderCondition(shard_id, &txn);
+  std::string body = wire::EncodeTxn(txn);
+  SendCommit(shard_id, std::make_shared<Plan>(std::move(plan)),
+             std::make_shared<std::vector<StateWrite>>(std::move(txn.writes)), std::move(body));
+  return true;
+}
+
+}  // namespace troutlink
--- a/src/core/transfer.cc
+++ b/src/core/transfer.cc
@@ -64,7 +64,7 @@
   const Waits& waits = WaitingCpus();
   for (int other_id = 0; other_id < settings_.shard_count(); ++other_id) {
     const Shard& other = shards_[static_cast<size_t>(other_id)];
-    if (other_id == shard_id || other.chunks.count(0) == 0 || other.committing) continue;
+    if (other_id == shard_id || !MayChangeTable(other) || other.committing) continue;
     // What waits there is about to use them: a first wave of jobs once took a
     // shard's machines away before it could decide, and left it with its services.
     const Micros after = waits[static_cast<size_t>(other_id)][0] > 0 ? kAcquireLate : kAcquireAfter;
@@ -103,6 +103,7 @@
     const AssignedMachine& m = other.assignments.machines.at(name);
     const MachineType* type = TypeOf(m.type);
     if (type == nullptr || !spec.each.Fits(type->size) || !plan->MayChange(name)) continue;
+    if (!plan->MayChangeOther(other_id, other.assignments, name)) continue;
     PlaceMachine machine = EmptyMachine(now, m);
     machine.usable = true;
     if (!Allowed(spec, plan->SpreadOf(spec), machine)) continue;
@@ -125,6 +126,7 @@
     plan->assignments.machines[name] = m;
     plan->machines.push_back(std::move(machine));
     plan->index.Add(&plan->machines.back());
+    plan->ChangeOther(other_id, other.assignments, name);
     plan->Change(name);
     plan->urgent = true;
     plan->acquirable.erase(it);
@@ -146,7 +148,8 @@
   for (int other_id = 0; other_id < settings_.shard_count(); ++other_id) {
     if (other_id == shard_id || (missing.cpus <= 0 && missing.gpus <= 0)) continue;
     const Shard& other = shards_[static_cast<size_t>(other_id)];
-    if (other.chunks.count(0) == 0 || other.committing) continue;
+    if (!MayChangeTable(other) || other.committing) continue;
+    if (!plan->MayChangeOther(other_id, other.assignments, "")) continue;
     if (!plan->others.empty() && plan->others.count(other_id) == 0) continue;
     const AssignmentTable& theirs =
         plan->others.count(other_id) != 0 ? plan->others.at(other_id) : other.assignments;
@@ -156,6 +159,7 @@
         share, theirs_used == other.use.teams.end() ? Share() : theirs_used->second, missing);
     if (move.cpus <= 0 && move.gpus <= 0) continue;
     AssignmentTable& changed = plan->others.try_emplace(other_id, other.assignments).first->second;
+    plan->ChangeOther(other_id, other.assignments, "");
     changed.shares[team.name] = {share.cpus - move.cpus, share.gpus - move.gpus};
     own.cpus += move.cpus;
     own.gpus += move.gpus;
--- a/src/core/waiting.cc
+++ b/src/core/waiting.cc
@@ -16,30 +16,32 @@
 constexpr Micros kNoLimit = 600 * kSecond;  // of work that nobody waits for by a certain time
 }  // namespace
 
-// By the deadline, and by what the objectives expect of the class; earliest first.
-std::vector<Micros> Core::LatestStarts(const JobRecord& record) const {
-  const JobSpec& spec = record.spec;
+// By the deadline, which counts from the submission, by what the objectives expect of the class
+// from the moment at which the job may start, and by what depends on it; earliest first.
+std::vector<Micros> Core::LatestStarts(const JobEntry& job) const {
+  const JobSpec& spec = job.record.spec;
+  const Micros submitted = job.record.submitted;
   std::vector<Micros> out;
-  if (spec.deadline > 0) out.push_back(spec.deadline - spec.estimate);
+  if (spec.deadline > 0) out.push_back(submitted + spec.deadline - spec.estimate);
+  if (job.inherited_latest_start != Urgency::kNoLimit) out.push_back(job.inherited_latest_start);
   for (const Objective& o : settings_.objectives) {
     if (o.job_class != spec.job_class) continue;
-    if (o.kind == Objective::Kind::kWait && o.within > 0) out.push_back(o.within);
+    if (o.kind == Objective::Kind::kWait && o.within > 0) out.push_back(job.ready_at + o.within);
     if (o.kind == Objective::Kind::kFinished && o.within > 0) {
-      out.push_back(o.within - spec.estimate);
+      out.push_back(job.ready_at + o.within - spec.estimate);
     }
     if (o.kind == Objective::Kind::kDeadline && spec.deadline > 0) {
-      out.push_back(static_cast<Micros>(o.times * static_cast<double>(spec.deadline)) -
-                    spec.estimate);
+      const auto due = static_cast<Micros>(o.times * static_cast<double>(spec.deadline));
+      out.push_back(submitted + due - spec.estimate);
     }
   }
-  if (out.empty()) out.push_back(kNoLimit);
+  if (out.empty()) out.push_back(job.ready_at + kNoLimit);
   std::sort(out.begin(), out.end());
   out.erase(std::unique(out.begin(), out.end()), out.end());
-  for (Micros& at : out) at += record.submitted;
   return out;
 }
 
-Micros Core::LatestStart(const JobRecord& record) const { return LatestStarts(record).front(); }
+Micros Core::LatestStart(const JobEntry& job) const { return LatestStarts(job).front(); }
 
 // What each team uses over all shards, with this shard's as its plan has it.
 std::map<std::string, Share> Core::UseEverywhere(int shard_id, const Plan& plan) const {
@@ -62,7 +64,7 @@
   for (auto& [id, run] : runs_) {
     if (run.shard_id != shard_id) continue;
     const JobEntry* job = FindJob(id);
-    if (job == nullptr || JobOver(id)) continue;
+    if (job == nullptr || job->blocked || JobOver(id)) continue;
     const JobSpec& spec = job->record.spec;
     int left = static_cast<int>(run.tasks.size()) - run.done - run.placed;
     if (spec.kind != JobKind::kService) {
@@ -78,21 +80,21 @@
     // single start comes first.
     const Micros starve = FromSeconds(settings_.op.starve_s());
     const bool aged =
-        run.done + run.placed == 0 && starve > 0 && WallNow(now) - job->record.submitted > starve;
+        run.done + run.placed == 0 && starve > 0 && WallNow(now) - job->ready_at > starve;
     // Where more important work leaves no room at all, one task of it starts in its place.
     Priority rank = spec.priority;
     if (aged && spec.kind == JobKind::kArray && spec.priority < kAgedRank) {
       rank = kAgedRank;
       left = 1;
     }
-    std::vector<Micros> limits = LatestStarts(job->record);
+    std::vector<Micros> limits = LatestStarts(*job);
     size_t tier = 0;
     while (spec.kind != JobKind::kService && tier < limits.size() && limits[tier] < WallNow(now)) {
       ++tier;
     }
     double work = static_cast<double>(left * spec.each.cpus) / 1000 * ToSeconds(spec.estimate);
     waiting.push_back({&spec, &run, left, rank, within, aged, std::move(limits), tier, work,
-                       job->record.submitted, job->record.moves});
+                       job->ready_at, job->record.moves});
   }
   NoteArrayPeak(now, &shards_[static_cast<size_t>(shard_id)], array_cpus);
   return waiting;
@@ -153,7 +155,7 @@
   };
   auto before = [&group](const Waiting& a, const Waiting& b) {
     if (auto x = group(a), y = group(b); x != y) return x < y;
-    if (a.aged && a.submitted != b.submitted) return a.submitted < b.submitted;
+    if (a.aged && a.ready_at != b.ready_at) return a.ready_at < b.ready_at;
     const size_t s = a.lost() ? SIZE_MAX : a.tier, t = b.lost() ? SIZE_MAX : b.tier;
     if (s != t) return s < t;
     if (a.key() != b.key()) return a.key() < b.key();
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -66,6 +66,8 @@
   Micros checkpoint = 0;  // period of the checkpoints; 0: none
   Micros save = 0;        // time that saving takes before a stop
   Micros deadline = 0;    // from the submission; 0: none
+  // Jobs that must be done before any task of this one starts; each is named once.
+  std::vector<std::string> dependencies;
 };
 
 // What is stored of a job; an open one is neither done nor cancelled.
--- a/src/wire/user.cc
+++ b/src/wire/user.cc
@@ -1,4 +1,5 @@
 // Users' side of the wire.
+#include <algorithm>
 #include <cmath>
 
 #include "base/ids.h"
@@ -12,6 +13,7 @@
 constexpr double kMaxSeconds = 1e8;
 constexpr int kMaxTasks = 100000;
 constexpr size_t kMaxText = 200;
+constexpr size_t kMaxTypes = 64;
 
 // Required: present, a number, finite, within [0, most].
 bool ReadAmount(const Json& map, const char* key, double most, double* out, std::string* why) {
@@ -57,6 +59,20 @@
   return std::nullopt;
 }
 
+// Optional: a list of texts, or null.
+bool ReadTexts(const Json& map, const char* key, std::vector<std::string>* out, std::string* why) {
+  const Json* list = Find(map, key);
+  if (list == nullptr) return true;
+  *why = std::string(key) + " must be a list of texts or null";
+  if (!list->is_array()) return false;
+  for (const Json& text : *list) {
+    if (!text.is_string() || text.get_ref<const std::string&>().size() > kMaxText) return false;
+    out->push_back(text.get<std::string>());
+  }
+  why->clear();
+  return true;
+}
+
 // Nothing, and why, when a field is missing or out of its range.
 std::optional<JobSpec> ReadSpec(const Json& map, std::string* why) {
   JobSpec spec;
@@ -113,21 +129,17 @@
   spec.estimate = FromSeconds(estimate);
   spec.checkpoint = FromSeconds(checkpoint);
   spec.save = FromSeconds(save);
-  if (const Json* types = Find(map, "builds")) {
-    if (!types->is_array() || types->size() > 64) {
-      *why = "builds must be a list of texts or null";
-      return std::nullopt;
-    }
-    for (const Json& type : *types) {
-      if (!type.is_string() || type.get_ref<const std::string&>().size() > kMaxText) {
-        *why = "builds must be a list of texts or null";
-        return std::nullopt;
-      }
-      spec.types.push_back(type.get<std::string>());
-    }
-    // A list that allows nothing is not the same as null.
-    if (spec.types.empty()) spec.types.push_back("");
+  if (!ReadTexts(map, "builds", &spec.types, why)) return std::nullopt;
+  if (spec.types.size() > kMaxTypes) {
+    *why = "builds must be a list of texts or null";
+    return std::nullopt;
   }
+  // A list that allows nothing is not the same as null.
+  if (spec.types.empty() && Find(map, "builds") != nullptr) spec.types.push_back("");
+  if (!ReadTexts(map, "awaits", &spec.dependencies, why)) return std::nullopt;
+  std::sort(spec.dependencies.begin(), spec.dependencies.end());
+  spec.dependencies.erase(std::unique(spec.dependencies.begin(), spec.dependencies.end()),
+                          spec.dependencies.end());
   if (Find(map, "room") != nullptr && !ReadText(map, "room", &spec.zone, why)) return std::nullopt;
   if (Find(map, "due_s") != nullptr) {
     double due = 0;
@@ -179,6 +191,7 @@
   if (!spec.types.empty()) map["builds"] = spec.types;
   if (!spec.zone.empty()) map["room"] = spec.zone;
   if (spec.deadline > 0) map["due_s"] = ToSeconds(spec.deadline);
+  if (!spec.dependencies.empty()) map["awaits"] = spec.dependencies;
   return map;
 }
 
--- a/tests/large_fleet_test.cc
+++ b/tests/large_fleet_test.cc
@@ -250,7 +250,7 @@
   for (int p = 0; p < 3; ++p) {
     chunks += static_cast<size_t>(w.core(0).AssignmentsOf(p).chunks);
     // All of them and some jobs must fit the conditions of one transaction.
-    EXPECT_LT(w.core(0).AssignmentsOf(p).chunks, 4 * w.settings.txn_ops / 3);
+    EXPECT_LT(w.core(0).AssignmentsOf(p).chunks, 4 * w.settings.state_limits.txn_ops / 3);
   }
   // 4,400 tasks were started and 4,000 of them ended.
   // Seen: 650 puts, 200 commits, 630 rounds, 120 calls to the cloud, 5,400 to workers.
