Stories of pipelines and upgrades; cancelled from the start with a cancelled dependency

A job that names a cancelled one is stored as cancelled: its acceptance, told after cancel_s, called it queued (seen in the story). Cancels of one revision are all kept, as several are committed at once.

--- a/src/core/cancellations.cc
+++ b/src/core/cancellations.cc
@@ -6,7 +6,7 @@
 namespace troutlink {
 
 void CancellationLog::AddCommitted(uint64_t revision, const std::string& job) {
-  committed_[revision] = job;
+  committed_.emplace(revision, job);
   while (committed_.size() > kMaxCommitted) {
     complete_above_ = std::max(complete_above_, committed_.begin()->first);
     committed_.erase(committed_.begin());
@@ -18,7 +18,7 @@
 // reached users through another node's replica and never a peer without the state
 // service, and its tasks lived on.
 void CancellationLog::FillHeartbeat(uint64_t seen, mesh::Heartbeat* heartbeat) const {
-  for (auto it = committed_.upper_bound(seen); it != committed_.end(); ++it) {
+  for (auto it = committed_.lower_bound({seen + 1, ""}); it != committed_.end(); ++it) {
     heartbeat->cancels.push_back(it->second);
   }
   for (const std::string& job : reported_) {
--- a/src/core/cancellations.h
+++ b/src/core/cancellations.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "base/micros.h"
 #include "mesh/codec.h"
@@ -30,8 +31,7 @@
   // Every controller but this one is added before the first heartbeat.
   void AddPeer(const std::string& label) { peers_[label]; }
 
-  // The replica holds the cancel of `job`, committed at `revision`. Each cancel is a
-  // transaction of its own, so a revision names one job.
+  // The replica holds the cancel of `job`, committed at `revision`.
   void AddCommitted(uint64_t revision, const std::string& job);
   // The replica holds `job` in a final state: no peer's word for it is needed any more.
   void ForgetReported(const std::string& job) { reported_.erase(job); }
@@ -77,8 +77,8 @@
 
   const Micros cancel_;
   const Micros lease_;
-  std::map<uint64_t, std::string> committed_;  // by revision, the newest ones
-  uint64_t complete_above_ = 0;                // no cancel above this revision was dropped
+  std::set<std::pair<uint64_t, std::string>> committed_;  // by revision, the newest ones
+  uint64_t complete_above_ = 0;  // no cancel above this revision was dropped
   std::set<std::string> reported_;
   Micros replica_time_ = 0;
   std::map<std::string, Peer> peers_;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -225,7 +225,7 @@
   // --- pipelines (pipelines.cc): jobs that depend on others ------------------------
   void NoteOpenJob(const std::string& id);
   void NoteFinishedJob(const std::string& id);
-  bool HasCancelledDependency(const JobEntry& entry) const;
+  bool HasCancelledDependency(const JobSpec& spec) const;
   // The job and all that depend on it are cancelled with a job that they depend on; their
   // records are not yet.
   void AddOrphan(const std::string& id);
@@ -347,6 +347,8 @@
   // The same, and goes on; `read`: the replica has it now, if there is such a job.
   void ReadJob(Micros now, const std::string& id, std::function<void(Micros now, bool read)> then);
   bool KnowsFateOf(Micros now, const JobEntry& entry) const;
+  // Whether the replica has all cancellations that users were told of long ago.
+  bool KnowsCancellations(Micros now) const;
   JobStatus StatusOf(const std::string& id, const JobEntry& entry) const;
 
   // --- choice of a shard for a job (shard_choice.cc) -------------------------------
--- a/src/core/pipelines.cc
+++ b/src/core/pipelines.cc
@@ -23,7 +23,7 @@
       if (known == nullptr || known->record.state != JobState::kOpen) continue;
       dependencies_.SetOwn(dependency, OwnUrgency(*known), StageTime(known->record.spec));
     }
-    if (HasCancelledDependency(entry)) AddOrphan(id);
+    if (HasCancelledDependency(spec)) AddOrphan(id);
   }
   CheckDependencies(id);
   ApplyInheritedUrgency(id);
@@ -42,13 +42,13 @@
   for (const std::string& changed : dependencies_.TakeChanged()) ApplyInheritedUrgency(changed);
 }
 
-bool Core::HasCancelledDependency(const JobEntry& entry) const {
-  const std::vector<std::string>& dependencies = entry.record.spec.dependencies;
-  return std::any_of(dependencies.begin(), dependencies.end(), [this](const std::string& id) {
-    const JobEntry* dependency = FindJob(id);
-    return orphans_.count(id) != 0 ||
-           (dependency != nullptr && dependency->record.state == JobState::kCancelled);
-  });
+bool Core::HasCancelledDependency(const JobSpec& spec) const {
+  return std::any_of(
+      spec.dependencies.begin(), spec.dependencies.end(), [this](const std::string& id) {
+        const JobEntry* dependency = FindJob(id);
+        return orphans_.count(id) != 0 ||
+               (dependency != nullptr && dependency->record.state == JobState::kCancelled);
+      });
 }
 
 void Core::AddOrphan(const std::string& id) {
--- a/src/core/queries.cc
+++ b/src/core/queries.cc
@@ -142,6 +142,10 @@
 // was cancelled: the replica must be recent enough to hold what users were told of them.
 bool Core::KnowsFateOf(Micros now, const JobEntry& entry) const {
   if (entry.record.state != JobState::kOpen || entry.record.spec.dependencies.empty()) return true;
+  return KnowsCancellations(now);
+}
+
+bool Core::KnowsCancellations(Micros now) const {
   return now - feed_.complete_up_to() < settings_.cancel / 2;
 }
 
--- a/src/core/submissions.cc
+++ b/src/core/submissions.cc
@@ -89,10 +89,13 @@
                               [this](const std::string& id) { return FindJob(id) == nullptr; });
   if (unknown == spec.dependencies.end()) {
     const std::string why = BadDependency(spec);
-    if (why.empty()) {
-      StoreJob(now, query, std::move(spec));
-    } else {
+    if (!why.empty()) {
       Answer(query.request, 422, wire::EncodeError(why));
+    } else if (!KnowsCancellations(now)) {
+      ++counters_.refused;
+      Answer(query.request, 503, wire::EncodeError("not ready"), kRetryAfter);
+    } else {
+      StoreJob(now, query, std::move(spec));
     }
     return;
   }
@@ -123,6 +126,12 @@
   record.shard_id = ShardForJob(spec);
   record.submitted = WallNow(now);
   record.spec = std::move(spec);
+  // One that needs a cancelled job is accepted, and cancelled from the start.
+  JobPhase phase = JobPhase::kQueued;
+  if (HasCancelledDependency(record.spec)) {
+    record.state = JobState::kCancelled;
+    phase = JobPhase::kCancelled;
+  }
   std::string value = EncodeJob(record);
   if (StoredSize(value) > settings_.next_state_limits.value_bytes) {
     Answer(query.request, 422, wire::EncodeError("larger than the state service can hold"));
@@ -138,7 +147,7 @@
   txn.writes.push_back({JobKey(query.id), std::move(value), 0, false});
   ++counters_.puts;
   Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kUserCallTimeout,
-       [this, query, write = txn.writes[0], job_class = record.spec.job_class](
+       [this, query, write = txn.writes[0], job_class = record.spec.job_class, phase](
            Micros answered, int status, const std::string& body) {
          std::optional<wire::TxnReply> reply;
          if (status == 200 || status == 409) reply = wire::DecodeTxnReply(body);
@@ -147,7 +156,7 @@
            ApplyPut(answered, write.key, write.value, reply->revision);
            ++counters_.accepted;
            Log(LogLine::Level::kDebug, "accepted " + query.id + " " + job_class);
-           Answer(query.request, 201, wire::EncodeJobState(query.id, JobPhase::kQueued));
+           Answer(query.request, 201, wire::EncodeJobState(query.id, phase));
          } else if (status == 409) {
            // Known already: by a repeat, a late copy or another node.
            FetchJob(answered, query.id);
--- a/tests/fake_state.cc
+++ b/tests/fake_state.cc
@@ -60,8 +60,28 @@
   return {400, Json::object()};
 }
 
+bool FakeState::WithinLimits(const Json& body) const {
+  const Json& writes = body.at("writes");
+  if (limits.txn_ops == 0) return true;  // none were set
+  if (static_cast<int>(writes.size()) > limits.txn_ops ||
+      static_cast<int>(body.at("if").size()) > limits.conditions()) {
+    return false;
+  }
+  for (const Json& write : writes) {
+    const auto value = write.find("v");
+    if (value != write.end() && static_cast<int64_t>(value->dump().size()) > limits.value_bytes) {
+      return false;
+    }
+  }
+  return true;
+}
+
 std::pair<int, Json> FakeState::Commit(const Json& body) {
   ++commits;
+  if (!WithinLimits(body)) {
+    ++too_large;
+    return {400, {{"error", "too large"}}};
+  }
   Json failed = Json::array();
   for (const Json& condition : body.at("if")) {
     auto it = items.find(condition.at("key").get<std::string>());
--- a/tests/fake_state.h
+++ b/tests/fake_state.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "config/settings.h"
 #include "core/core.h"
 #include "wire/pack.h"
 
@@ -39,6 +40,9 @@
     bool erase;
   };
 
+  // What it accepts: a larger transaction or value gets 400. Reading has no limit.
+  StateLimits limits;
+
   // Carries a request out; returns the status and body of the answer.
   std::pair<int, Json> Handle(Micros now, const std::string& method, const std::string& target,
                               const Json& body);
@@ -54,10 +58,12 @@
   std::map<uint64_t, Lease> leases;
   uint64_t next_lease = 1;
   std::vector<Change> changes;
-  int commits = 0;  // transactions that arrived, also those that were refused
+  int too_large = 0;  // transactions beyond the limits
+  int commits = 0;    // transactions that arrived, also those that were refused
 
  private:
   std::pair<int, Json> Commit(const Json& body);
+  bool WithinLimits(const Json& body) const;
   std::pair<int, Json> Grant(Micros now, const Json& body);
   std::pair<int, Json> Renew(Micros now, uint64_t id);
   std::pair<int, Json> List(const std::string& target) const;
--- a/tests/rule_checker.cc
+++ b/tests/rule_checker.cc
@@ -44,6 +44,13 @@
   if (IsWrongPlace(known->spec, on, of_job, in_zone)) {
     Break("wrong_place " + TaskName(job, task) + " on " + on.name);
   }
+  for (const std::string& dependency : known->spec.dependencies) {
+    const Users::Known* needed = users_.Find(dependency);
+    for (int of_it = 0; needed != nullptr && of_it < needed->spec.tasks; ++of_it) {
+      if (results_.count({dependency, of_it}) != 0) continue;
+      Break("too_early " + TaskName(job, task) + " before " + dependency);
+    }
+  }
   if (known->cancelled != 0) {
     ++starts_after_cancel;
     if (now > known->cancelled + settings_.cancel) {
@@ -64,7 +71,16 @@
           std::to_string(answer.status));
   }
   if (answer.status != 200 && answer.status != 201) return;
-  if (answer.job_status == "cancelled" && !known->asked_cancel) {
+  bool asked_cancel = known->asked_cancel;
+  for (const Users::Known* dependency : users_.DependenciesOf(answer.id)) {
+    asked_cancel = asked_cancel || dependency->asked_cancel;
+    const bool open = answer.job_status == "queued" || answer.job_status == "running";
+    if (open && dependency->cancelled != 0 &&
+        answer.told > dependency->cancelled + settings_.cancel) {
+      Break("orphaned " + answer.id + " by " + dependency->spec.id);
+    }
+  }
+  if (answer.job_status == "cancelled" && !asked_cancel) {
     Break("went_back " + answer.id + ": not cancelled");
   }
   const bool was_done = known->done != 0 && known->done < answer.asked;
--- a/tests/rule_checker.h
+++ b/tests/rule_checker.h
@@ -22,7 +22,10 @@
 //   invented       a job is answered for that nobody submitted
 //   not_done       a job is called done before all of its tasks have a result
 //   went_back      an answer contradicts one that a user had before, or a cancellation is told
-//                  that no user asked for
+//                  that no user asked for, of the job or of one that it depends on
+//   too_early      a task starts before all jobs that its job depends on are done
+//   orphaned       a job is called queued or running later than `cancel_s` after its user was
+//                  told that a job that it depends on is cancelled
 class RuleChecker {
  public:
   // All of these must outlive it.
--- a/tests/users.cc
+++ b/tests/users.cc
@@ -1,5 +1,7 @@
 #include "users.h"
 
+#include <set>
+
 #include "wire/messages.h"
 #include "wire/pack.h"
 
@@ -49,6 +51,23 @@
   if (answer.job_status == "cancelled" && known.cancelled == 0) known.cancelled = answer.told;
 }
 
+std::vector<const Users::Known*> Users::DependenciesOf(const std::string& id) const {
+  std::vector<const Known*> all;
+  std::set<std::string> seen = {id};
+  std::vector<std::string> open = {id};
+  while (!open.empty()) {
+    const Known* known = Find(open.back());
+    open.pop_back();
+    if (known == nullptr) continue;
+    for (const std::string& dependency : known->spec.dependencies) {
+      if (!seen.insert(dependency).second) continue;
+      open.push_back(dependency);
+      if (const Known* found = Find(dependency)) all.push_back(found);
+    }
+  }
+  return all;
+}
+
 const Users::Known* Users::Find(const std::string& id) const {
   auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : &it->second;
--- a/tests/users.h
+++ b/tests/users.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/core.h"
 
@@ -38,6 +39,8 @@
   static std::optional<UserAnswer> Read(Micros asked, Micros told, const std::string& method,
                                         const std::string& target, const std::string& body,
                                         const Reply& reply);
+  // All jobs that the job depends on, directly or through others.
+  std::vector<const Known*> DependenciesOf(const std::string& id) const;
   // The job, or null if no user submitted it.
   const Known* Find(const std::string& id) const;
   // All jobs that were submitted, also those that were refused.
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -44,6 +44,7 @@
           [this](const std::string& what) { rules.broken.push_back(what); }) {
   ReadSettings(nodes, change);
   settings = nodes_[0].settings;
+  state.limits = settings.state_limits;
   for (size_t i = 0; i < nodes_.size(); ++i) Start(i);
 }
 
@@ -244,6 +245,12 @@
     return;
   }
   if (keep_calls && call.method == "POST") carried.emplace_back(node, call);
+  // As long as a node's version is not stored, it counts as one of version 1.
+  if (version_1.count(node) != 0 && call.target == "/commit" &&
+      call.body.find(NodeVersionKey(NodeName(node))) != std::string::npos) {
+    FailCall(node, boot, call);
+    return;
+  }
   if (lose && lose(node, call)) {
     held.emplace_back(node, call);
     FailCall(node, boot, call);
--- a/tests/world.h
+++ b/tests/world.h
@@ -71,6 +71,10 @@
   void Freeze(size_t node);
   // A frozen node goes on, with all that waited for it.
   void Thaw(size_t node);
+  // Nodes whose version the others do not learn: as if they had not been upgraded.
+  std::set<size_t> version_1;
+  // The state service has its announced limits from now on.
+  void LowerStateLimits() { state.limits = settings.next_state_limits; }
   // A running machine that nobody rented.
   FakeWorker& AddWorker(const std::string& type, bool spot = false);
 
