--- a/src/core/commit.cc
+++ b/src/core/commit.cc
@@ -220,12 +220,9 @@
 void Core::AddTableConditions(int shard_id, StateTxn* txn) const {
   const Shard& shard = ShardAt(shard_id);
   AddHeaderCondition(shard_id, txn);
+  if (all_nodes_current_) return;
   for (const auto& [index, chunk] : shard.chunks) {
-    if (index == 0) continue;
-    const std::string key = AssignmentKey(shard_id, index, shard.assignments.form);
-    const bool written = std::any_of(txn->writes.begin(), txn->writes.end(),
-                                     [&key](const StateWrite& write) { return write.key == key; });
-    if (!all_nodes_current_ || written) txn->conditions.push_back({key, chunk.version});
+    if (index != 0) txn->conditions.push_back({AssignmentKey(shard_id, index), chunk.version});
   }
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -167,6 +167,7 @@
     uint32_t batch = 0;
     Micros next_state_log = 0;  // next line in the log of what it has
     int window_at = 0;          // the chunk whose turn it is
+    int window_turn = 0;        // rounds over a table of many chunks
     int narrow = 0;             // rounds that decide little, after one that did not fit
     double peak = 0;            // of the cpus that arrays wanted, and when it was
     double array_peak = 0;      // the same, faded
@@ -604,6 +605,7 @@
     std::string zone;
   };
   void ChooseWindow(Shard* shard, Plan* plan) const;
+  std::set<int> RoomiestChunks(const Shard& shard, size_t most) const;
   int TasksWithinLimit(const Plan& plan, const Team& team, int shard_id, const JobSpec& spec,
                        const Share& kept) const;
   static void Reserve(Plan* plan, const JobSpec& spec);
@@ -672,8 +674,7 @@
   static bool MayCommitNow(Micros now, Shard* shard, const Plan& plan);
   bool TakeWrites(Micros now, int shard_id, const Plan& plan, size_t writes);
   void AddConditions(int shard_id, const Plan& plan, StateTxn* txn) const;
-  // A condition on the whole table: on its header alone once every commit writes that, and on
-  // the chunks that are written.
+  // A condition on the whole table: on its header alone once every commit writes that.
   void AddTableConditions(int shard_id, StateTxn* txn) const;
   void AddHeaderCondition(int shard_id, StateTxn* txn) const;
   bool FitsTransaction(const StateTxn& txn, const std::string& body) const;
--- /dev/null
+++ b/src/core/machine_codec.cc
@@ -0,0 +1,221 @@
+#include "core/machine_codec.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "base/digits.h"
+#include "base/ids.h"
+
+namespace troutlink {
+namespace {
+
+constexpr uint64_t kSpot = 1;
+constexpr uint64_t kLeaving = 2;
+constexpr uint64_t kHelps = 4;
+
+// Texts that many machines share are written once, in front.
+class TextTable {
+ public:
+  uint64_t Index(const std::string& text) {
+    auto [it, fresh] = index_.try_emplace(text, texts_.size());
+    if (fresh) texts_.push_back(text);
+    return it->second;
+  }
+  std::string Encode() const {
+    std::string out;
+    PutDigits(&out, texts_.size());
+    for (const std::string& t : texts_) PutTextDigits(&out, t);
+    return out;
+  }
+
+ private:
+  std::map<std::string, uint64_t> index_;
+  std::vector<std::string> texts_;
+};
+
+// Job ids without the prefix that all of them have.
+std::string ShortId(std::string_view id) { return std::string(id.substr(kJobPrefix.size())); }
+std::string LongId(std::string_view short_id) { return std::string(kJobPrefix).append(short_id); }
+
+// Writes machines one after the other, in one of the forms.
+class Writer {
+ public:
+  explicit Writer(TableForm form) : compact_(form == TableForm::kCompact) {}
+
+  void Put(const AssignedMachine& machine) {
+    PutName(machine.name);
+    PutAddress(machine.addr);
+    PutDigits(&body_, table_.Index(machine.type));
+    PutDigits(&body_, table_.Index(machine.zone));
+    const bool helps = !machine.helps.empty();
+    PutDigits(&body_,
+              (machine.spot ? kSpot : 0) | (machine.leaving ? kLeaving : 0) | (helps ? kHelps : 0));
+    if (helps) PutJob(machine.helps);
+    PutAttempts(machine.attempts);
+    ++count_;
+  }
+  std::string Finish() const {
+    std::string out = table_.Encode();
+    PutDigits(&out, count_);
+    return out + body_;
+  }
+
+ private:
+  void PutName(const std::string& name) {
+    if (compact_) {
+      PutDifference(&name_, name);
+    } else {
+      PutTextDigits(&body_, name);
+    }
+  }
+  // The compact form writes the port, which is the same for most machines, apart.
+  void PutAddress(const std::string& address) {
+    if (!compact_) {
+      PutTextDigits(&body_, address);
+      return;
+    }
+    const size_t colon = std::min(address.rfind(':'), address.size());
+    PutDifference(&host_, address.substr(0, colon));
+    PutDigits(&body_, table_.Index(address.substr(colon)));
+  }
+  void PutJob(const std::string& job) {
+    if (compact_) {
+      PutDigits(&body_, table_.Index(ShortId(job)));
+    } else {
+      PutTextDigits(&body_, ShortId(job));
+    }
+  }
+  // Grouped by job: id, number of them, task and attempt of each.
+  void PutAttempts(const std::vector<Attempt>& attempts) {
+    std::map<std::string_view, std::vector<const Attempt*>> by_job;
+    for (const Attempt& attempt : attempts) by_job[attempt.job].push_back(&attempt);
+    PutDigits(&body_, by_job.size());
+    for (const auto& [job, list] : by_job) {
+      PutJob(std::string(job));
+      PutDigits(&body_, list.size());
+      for (const Attempt* attempt : list) {
+        PutDigits(&body_, static_cast<uint64_t>(attempt->task));
+        PutDigits(&body_, attempt->number);
+      }
+    }
+  }
+  // As the length of what `text` shares with `previous`, and the rest.
+  void PutDifference(std::string* previous, const std::string& text) {
+    const auto end = std::mismatch(previous->begin(), previous->end(), text.begin(), text.end());
+    const auto shared = static_cast<size_t>(end.first - previous->begin());
+    PutDigits(&body_, shared);
+    PutTextDigits(&body_, std::string_view(text).substr(shared));
+    *previous = text;
+  }
+
+  const bool compact_;
+  TextTable table_;
+  std::string body_;
+  uint64_t count_ = 0;
+  std::string name_, host_;  // of the machine before
+};
+
+// Reads what Writer wrote.
+class Reader {
+ public:
+  Reader(TableForm form, std::string_view in) : compact_(form == TableForm::kCompact), in_(in) {}
+
+  bool ReadAll(AssignmentTable* assignments) {
+    uint64_t count = 0;
+    if (!ReadTexts() || !GetDigits(&in_, &count) || count > in_.size()) return false;
+    for (; count > 0; --count) {
+      AssignedMachine machine;
+      if (!ReadMachine(&machine)) return false;
+      std::string name = machine.name;
+      assignments->machines[name] = std::move(machine);
+    }
+    return in_.empty();
+  }
+
+ private:
+  bool ReadTexts() {
+    uint64_t count = 0;
+    if (!GetDigits(&in_, &count) || count > in_.size()) return false;
+    texts_.resize(count);
+    return std::all_of(texts_.begin(), texts_.end(),
+                       [this](std::string& text) { return GetTextDigits(&in_, &text); });
+  }
+  bool ReadMachine(AssignedMachine* machine) {
+    uint64_t flags = 0;
+    if (!ReadName(&machine->name) || !ReadAddress(&machine->addr) || !ReadShared(&machine->type) ||
+        !ReadShared(&machine->zone) || !GetDigits(&in_, &flags)) {
+      return false;
+    }
+    machine->spot = (flags & kSpot) != 0;
+    machine->leaving = (flags & kLeaving) != 0;
+    if ((flags & kHelps) != 0 && !ReadJob(&machine->helps)) return false;
+    return ReadAttempts(&machine->attempts);
+  }
+  bool ReadName(std::string* name) {
+    return compact_ ? ReadDifference(&name_, name) : GetTextDigits(&in_, name);
+  }
+  bool ReadAddress(std::string* address) {
+    if (!compact_) return GetTextDigits(&in_, address);
+    std::string port;
+    if (!ReadDifference(&host_, address) || !ReadShared(&port)) return false;
+    *address += port;
+    return true;
+  }
+  bool ReadJob(std::string* job) {
+    std::string short_id;
+    if (!(compact_ ? ReadShared(&short_id) : GetTextDigits(&in_, &short_id))) return false;
+    *job = LongId(short_id);
+    return true;
+  }
+  bool ReadAttempts(std::vector<Attempt>* attempts) {
+    uint64_t jobs = 0;
+    if (!GetDigits(&in_, &jobs) || jobs > in_.size()) return false;
+    for (; jobs > 0; --jobs) {
+      std::string job;
+      uint64_t count = 0;
+      if (!ReadJob(&job) || !GetDigits(&in_, &count) || count > in_.size()) return false;
+      for (; count > 0; --count) {
+        uint64_t task = 0, number = 0;
+        if (!GetDigits(&in_, &task) || !GetDigits(&in_, &number)) return false;
+        attempts->push_back({job, static_cast<int>(task), number});
+      }
+    }
+    return true;
+  }
+  bool ReadShared(std::string* text) {
+    uint64_t index = 0;
+    if (!GetDigits(&in_, &index) || index >= texts_.size()) return false;
+    *text = texts_[index];
+    return true;
+  }
+  bool ReadDifference(std::string* previous, std::string* text) {
+    uint64_t shared = 0;
+    std::string rest;
+    if (!GetDigits(&in_, &shared) || shared > previous->size() || !GetTextDigits(&in_, &rest)) {
+      return false;
+    }
+    *text = previous->substr(0, shared) + rest;
+    *previous = *text;
+    return true;
+  }
+
+  const bool compact_;
+  std::string_view in_;
+  std::vector<std::string> texts_;
+  std::string name_, host_;  // of the machine before
+};
+
+}  // namespace
+
+std::string EncodeMachines(TableForm form, const MachineList& machines) {
+  Writer writer(form);
+  for (const AssignedMachine* machine : machines) writer.Put(*machine);
+  return writer.Finish();
+}
+
+bool DecodeMachines(TableForm form, std::string_view in, AssignmentTable* assignments) {
+  return Reader(form, in).ReadAll(assignments);
+}
+
+}  // namespace troutlink
--- a/src/core/records.cc
+++ b/src/core/records.cc
@@ -6,6 +6,7 @@
 
 #include "base/digits.h"
 #include "base/ids.h"
+#include "core/machine_codec.h"
 #include "wire/messages.h"
 #include "wire/pack.h"
 
@@ -161,108 +162,18 @@
 
 namespace {
 
-// Texts that many machines share are written once, in front.
-class Table {
- public:
-  uint64_t Index(const std::string& text) {
-    auto [it, fresh] = index_.try_emplace(text, texts_.size());
-    if (fresh) texts_.push_back(text);
-    return it->second;
+MachineList MachinesOf(const AssignmentTable& assignments, int chunk) {
+  MachineList machines;
+  for (const auto& [name, machine] : assignments.machines) {
+    if (assignments.ChunkOfMachine(name) == chunk) machines.push_back(&machine);
   }
-  std::string Encode() const {
-    std::string out;
-    PutDigits(&out, texts_.size());
-    for (const std::string& t : texts_) PutTextDigits(&out, t);
-    return out;
-  }
-
- private:
-  std::map<std::string, uint64_t> index_;
-  std::vector<std::string> texts_;
-};
-
-// Job ids without the prefix that all of them have.
-std::string_view ShortId(std::string_view id) { return id.substr(kJobPrefix.size()); }
-
-std::string EncodeMachines(const AssignmentTable& assignments, int chunk) {
-  Table table;
-  std::string body;
-  uint64_t count = 0;
-  for (const auto& [name, m] : assignments.machines) {
-    if (assignments.ChunkOfMachine(name) != chunk) continue;
-    ++count;
-    PutTextDigits(&body, name);
-    PutTextDigits(&body, m.addr);
-    PutDigits(&body, table.Index(m.type));
-    PutDigits(&body, table.Index(m.zone));
-    PutDigits(&body, (m.spot ? 1u : 0u) + (m.leaving ? 2u : 0u) + (m.helps.empty() ? 0u : 4u));
-    if (!m.helps.empty()) PutTextDigits(&body, ShortId(m.helps));
-    // Attempts are grouped by job: id, number of them, task and attempt of each.
-    std::map<std::string_view, std::vector<const Attempt*>> by_job;
-    for (const Attempt& a : m.attempts) by_job[a.job].push_back(&a);
-    PutDigits(&body, by_job.size());
-    for (const auto& [job, list] : by_job) {
-      PutTextDigits(&body, ShortId(job));
-      PutDigits(&body, list.size());
-      for (const Attempt* a : list) {
-        PutDigits(&body, static_cast<uint64_t>(a->task));
-        PutDigits(&body, a->number);
-      }
-    }
-  }
-  std::string out = table.Encode();
-  PutDigits(&out, count);
-  return out + body;
-}
-
-bool DecodeMachines(std::string_view in, AssignmentTable* assignments) {
-  uint64_t n = 0;
-  if (!GetDigits(&in, &n) || n > in.size()) return false;
-  std::vector<std::string> texts(n);
-  for (std::string& t : texts) {
-    if (!GetTextDigits(&in, &t)) return false;
-  }
-  if (!GetDigits(&in, &n) || n > in.size()) return false;
-  for (; n > 0; --n) {
-    AssignedMachine m;
-    uint64_t type = 0, zone = 0, flags = 0, jobs = 0;
-    if (!GetTextDigits(&in, &m.name) || !GetTextDigits(&in, &m.addr) || !GetDigits(&in, &type) ||
-        !GetDigits(&in, &zone) || !GetDigits(&in, &flags) || type >= texts.size() ||
-        zone >= texts.size()) {
-      return false;
-    }
-    m.type = texts[type];
-    m.zone = texts[zone];
-    m.spot = (flags & 1) != 0;
-    m.leaving = (flags & 2) != 0;
-    std::string id;
-    if ((flags & 4) != 0) {
-      if (!GetTextDigits(&in, &id)) return false;
-      m.helps = std::string(kJobPrefix) + id;
-    }
-    if (!GetDigits(&in, &jobs) || jobs > in.size()) return false;
-    for (; jobs > 0; --jobs) {
-      uint64_t attempts = 0;
-      if (!GetTextDigits(&in, &id) || !GetDigits(&in, &attempts) || attempts > in.size()) {
-        return false;
-      }
-      const std::string job = std::string(kJobPrefix) + id;
-      for (; attempts > 0; --attempts) {
-        uint64_t task = 0, number = 0;
-        if (!GetDigits(&in, &task) || !GetDigits(&in, &number)) return false;
-        m.attempts.push_back({job, static_cast<int>(task), number});
-      }
-    }
-    std::string name = m.name;
-    assignments->machines[name] = std::move(m);
-  }
-  return in.empty();
+  return machines;
 }
 
 }  // namespace
 
 std::string EncodeChunk(const AssignmentTable& assignments, int chunk) {
-  Json out = {{"m", EncodeMachines(assignments, chunk)}};
+  Json out = {{"m", EncodeMachines(assignments.form, MachinesOf(assignments, chunk))}};
   if (chunk == 0) {
     out["n"] = assignments.chunks;
     if (assignments.Migrating()) out["from"] = assignments.unmigrated_from;
@@ -285,7 +196,8 @@
   std::optional<Json> doc = wire::Unpack(value);
   if (!doc || !doc->is_object()) return false;
   try {
-    if (!DecodeMachines(doc->at("m").get_ref<const std::string&>(), assignments)) return false;
+    if (!DecodeMachines(assignments->form, doc->at("m").get_ref<const std::string&>(), assignments))
+      return false;
     if (chunk != 0) return true;
     assignments->chunks = doc->at("n").get<int>();
     assignments->unmigrated_from = doc->value("from", 0);
--- a/src/core/replica.cc
+++ b/src/core/replica.cc
@@ -290,6 +290,7 @@
   chunk.version = version;
   chunk.bytes = value.size();
   AssignmentTable next;
+  next.form = key.form;
   if (!DecodeChunk(value, key.chunk, &next)) {
     Log(LogLine::Level::kError,
         "unreadable assignment table of shard " + std::to_string(key.shard_id));
--- a/src/core/table_form.cc
+++ b/src/core/table_form.cc
@@ -23,8 +23,8 @@
 // With values below this size a table is stored in the compact form.
 constexpr int64_t kCompactBelowBytes = int64_t{8} * 1024;
 // Of a value's limit: so full may the largest chunk be at first, and before there is one more.
-constexpr int64_t kFirstFillPercent = 50;
-constexpr int64_t kGrowPercent = 60;
+constexpr int64_t kFirstFillPercent = 60;
+constexpr int64_t kGrowPercent = 75;
 constexpr int kFirstChunks = 1 + 4;
 constexpr int kMostChunks = 1024;
 }  // namespace
--- a/tests/core_units_test.cc
+++ b/tests/core_units_test.cc
@@ -247,26 +247,34 @@
 }
 
 TEST(Records, SurviveTheirRoundTrip) {
-  AssignmentTable r;
-  r.chunks = 3;
-  r.next_number = 77;
-  for (int i = 0; i < 20; ++i) {
-    AssignedMachine m;
-    m.name = "n-" + std::to_string(i);
-    m.addr = "10.1.0.1:9000";
-    m.type = "t";
-    m.zone = "z";
-    m.spot = i % 2 == 0;
-    m.leaving = i % 3 == 0;
-    m.attempts = {{"job-1", i, 5}, {"job-2", 1, 6}};
-    r.machines[m.name] = m;
+  for (TableForm form : {TableForm::kOriginal, TableForm::kCompact}) {
+    AssignmentTable r;
+    r.form = form;
+    r.chunks = 3;
+    r.next_number = 77;
+    for (int i = 0; i < 20; ++i) {
+      AssignedMachine m;
+      m.name = "n-" + std::to_string(i);
+      m.addr = "10.1.0.1:9000";
+      m.type = "t";
+      m.zone = "z";
+      m.spot = i % 2 == 0;
+      m.leaving = i % 3 == 0;
+      m.attempts = {{"job-1", i, 5}, {"job-2", 1, 6}};
+      r.machines[m.name] = m;
+    }
+    r.rentals["h"] = {{"h", "t", "z", true, 4}, "job-1"};
+    r.shares["team"] = {5, 6};
+    r.helps["job-1"] = {0.25};
+    AssignmentTable back;
+    back.form = form;
+    for (int i = 0; i < 3; ++i) ASSERT_TRUE(DecodeChunk(EncodeChunk(r, i), i, &back));
+    EXPECT_EQ(back, r);
+    const std::string bad = EncodeChunk(r, 1);
+    AssignmentTable damaged;
+    damaged.form = form;
+    EXPECT_FALSE(DecodeChunk(bad.substr(0, bad.size() / 2), 1, &damaged));
   }
-  r.rentals["h"] = {{"h", "t", "z", true, 4}, "job-1"};
-  r.shares["team"] = {5, 6};
-  r.helps["job-1"] = {0.25};
-  AssignmentTable back;
-  for (int i = 0; i < 3; ++i) ASSERT_TRUE(DecodeChunk(EncodeChunk(r, i), i, &back));
-  EXPECT_EQ(back, r);
   Progress p = {{"job-1", {0, 1, 2, 7, 9}}, {"job-2", {4}}};
   EXPECT_EQ(DecodeProgress(EncodeProgress(p)), p);
 }
