--- a/src/core/core.h
+++ b/src/core/core.h
@@ -334,6 +334,7 @@
   std::string BadDependency(const JobSpec& spec) const;
   // Empty: it can run.
   std::string NeverRuns(const JobSpec& spec) const;
+  static std::string ListOf(const std::vector<std::string>& dependencies);
   static int SpreadRetry(const std::string& id);
   void Poll(Micros now, Query query);
   void RunQueries(Micros now);
--- a/src/core/submissions.cc
+++ b/src/core/submissions.cc
@@ -121,6 +121,13 @@
   return kRetryAfter + static_cast<int>(StableHash(id) % kRetrySpread);
 }
 
+// For the log: empty for a job that waits for no other.
+std::string Core::ListOf(const std::vector<std::string>& dependencies) {
+  std::string list;
+  for (const std::string& id : dependencies) list += (list.empty() ? ", waits for " : " ") + id;
+  return list;
+}
+
 void Core::StoreJob(Micros now, const Query& query, JobSpec spec) {
   JobRecord record;
   record.shard_id = ShardForJob(spec);
@@ -147,15 +154,16 @@
   txn.writes.push_back({JobKey(query.id), std::move(value), 0, false});
   ++counters_.puts;
   Send(Dest::kState, "", "POST", wire::CommitTarget(), wire::EncodeTxn(txn), kUserCallTimeout,
-       [this, query, write = txn.writes[0], job_class = record.spec.job_class, phase](
-           Micros answered, int status, const std::string& body) {
+       [this, query, write = txn.writes[0], job_class = record.spec.job_class, phase,
+        waits_for = ListOf(record.spec.dependencies)](Micros answered, int status,
+                                                      const std::string& body) {
          std::optional<wire::TxnReply> reply;
          if (status == 200 || status == 409) reply = wire::DecodeTxnReply(body);
          if (reply) state_ok_ = answered;
          if (status == 200 && reply) {
            ApplyPut(answered, write.key, write.value, reply->revision);
            ++counters_.accepted;
-           Log(LogLine::Level::kDebug, "accepted " + query.id + " " + job_class);
+           Log(LogLine::Level::kDebug, "accepted " + query.id + " " + job_class + waits_for);
            Answer(query.request, 201, wire::EncodeJobState(query.id, phase));
          } else if (status == 409) {
            // Known already: by a repeat, a late copy or another node.
--- a/tests/random_faults_test.cc
+++ b/tests/random_faults_test.cc
@@ -16,7 +16,10 @@
 // be served. The world checks the rules at every step. The same seed is always the same run.
 class RandomFaults {
  public:
-  explicit RandomFaults(unsigned seed);
+  // With kUpgrade all nodes begin with version 1 and are upgraded one after the other; then
+  // users submit pipelines, and at some moment the state service has smaller limits.
+  enum class Mode { kOrdinary, kUpgrade };
+  explicit RandomFaults(unsigned seed, Mode mode = Mode::kOrdinary);
 
   // Plays the seed to its end, or to the first broken rule.
   void Play();
@@ -43,7 +46,10 @@
   void UsersAct();
   void Question();
 
+  void AddDependencies(JobSpec* spec);
+
   // --- faults ---
+  void PlanUpgrade();
   void BeginFault();
   void During(const std::string& what, Micros time, std::function<void()> end);
   void StateDown(const std::string& what, Micros time);
@@ -69,6 +75,7 @@
     log_.push_back(std::to_string(w_.now / kMilli - 1000000) + " ms: " + what);
   }
 
+  const Mode mode_;
   std::mt19937 rng_;
   World w_;
   std::map<std::string, JobSpec> specs_;
@@ -93,7 +100,14 @@
       {{"name", "guest"}, {"cpus", 0.0}, {"cpus_max", 48.0}, {"gpus", 0.0}, {"gpus_max", 0.0}});
 }
 
-RandomFaults::RandomFaults(unsigned seed) : rng_(seed), w_(3, AddGuests) {
+void AddGuestsAndSmallLimits(Json* facts) {
+  AddGuests(facts);
+  (*facts)["state"]["next"] = {{"write_rps", 40.0}, {"value_kb", 2.0}, {"txn_ops", 4}};
+}
+
+RandomFaults::RandomFaults(unsigned seed, Mode mode)
+    : mode_(mode), rng_(seed), w_(3, mode == Mode::kUpgrade ? AddGuestsAndSmallLimits : AddGuests) {
+  if (mode == Mode::kUpgrade) w_.version_1 = {0, 1, 2};
   w_.cloud.capacity = 200;
   for (int i = 0; i < 8; ++i) {
     w_.AddWorker("small", i % 3 == 0).zone = i % 2 == 0 ? "z1" : "z2";
@@ -111,6 +125,7 @@
 
 void RandomFaults::Play() {
   w_.Run(kReady);
+  if (mode_ == Mode::kUpgrade) PlanUpgrade();
   for (int i = 0; i < 6; ++i) SubmitSpec(OrdinaryJob());
   const Micros end = w_.now + 150 * kSecond;
   while (w_.now < end) {
@@ -182,10 +197,22 @@
     spec.spot = Chance(0.7);
     spec.priority = Chance(0.3) ? Priority::kLow : Priority::kNormal;
     w_.SetRunTime(id, Draw(500, 25000) * kMilli);
+    if (mode_ == Mode::kUpgrade && w_.version_1.empty()) AddDependencies(&spec);
   }
   return spec;
 }
 
+// On arrays that were accepted, in whatever state they are.
+void RandomFaults::AddDependencies(JobSpec* spec) {
+  for (int i = Draw(0, 3); i > 0; --i) {
+    const std::string id = AnyJob();
+    const Users::Known* known = w_.users.Find(id);
+    if (known == nullptr || known->accepted == 0 || known->spec.kind != JobKind::kArray) continue;
+    spec->dependencies.push_back(id);
+  }
+  if (!spec->dependencies.empty()) Say(spec->id + " depends on " + spec->dependencies.front());
+}
+
 // A job that fails everywhere; its user notices and cancels it after a while.
 void RandomFaults::SubmitMistaken() {
   JobSpec spec = OrdinaryJob();
@@ -249,6 +276,23 @@
   due_.push_back({w_.now + time, std::move(end), true});
 }
 
+// Each node ends once and comes back with the new version; the limits come after the last.
+void RandomFaults::PlanUpgrade() {
+  Micros when = w_.now + Draw(2, 10) * kSecond;
+  for (size_t node = 0; node < 3; ++node) {
+    due_.push_back({when,
+                    [this, node] {
+                      Say("upgrades node " + std::to_string(node));
+                      w_.version_1.erase(node);
+                      EndNode(node, Draw(100, 5000) * kMilli);
+                    },
+                    false});
+    when += Draw(1, 20) * kSecond;
+  }
+  when += Draw(0, 20) * kSecond;
+  due_.push_back({when, [this] { w_.LowerStateLimits(); }, false});
+}
+
 void RandomFaults::BeginFault() {
   const size_t n = Node();
   const std::string at = " node " + std::to_string(n);
@@ -416,6 +460,12 @@
     auto answer = w_.AskUntil(node, "GET", "/api/jobs/" + id);
     EXPECT_EQ(answer.status, 200) << id << " at " << node;
     const std::string status = answer.body.value("status", "?");
+    const auto dependencies = w_.users.DependenciesOf(id);
+    const bool waits = std::any_of(dependencies.begin(), dependencies.end(),
+                                   [this, node](const Users::Known* dependency) {
+                                     return Status(w_, node, dependency->spec.id) != "done";
+                                   });
+    if (waits && status == "queued") continue;
     const bool service = known.spec.kind == JobKind::kService;
     if (status == "cancelled" || status == "done") {
       EXPECT_EQ(w_.OnMachines(id), 0) << id << " " << status;
@@ -442,5 +492,19 @@
   }
 }
 
+TEST(FaultCombinations, AnyTroublesDuringAnUpgradeWithPipelinesBreakNoRule) {
+  unsigned first = 1, last = 20;
+  if (const char* seeds = std::getenv("TROUTLINK_SEEDS")) {
+    ASSERT_EQ(std::sscanf(seeds, "%u:%u", &first, &last), 2);
+  }
+  for (unsigned seed = first; seed <= last; ++seed) {
+    SCOPED_TRACE(testing::Message() << "seed " << seed);
+    RandomFaults faults(seed, RandomFaults::Mode::kUpgrade);
+    faults.Play();
+    EXPECT_KEPT(faults.world());
+    if (HasFailure()) FAIL() << faults.Told();
+  }
+}
+
 }  // namespace
 }  // namespace troutlink::test
