--- a/src/core/heartbeats.cc
+++ b/src/core/heartbeats.cc
@@ -156,6 +156,8 @@
   if (job != nullptr && job->record.state != JobState::kOpen) return;
   if (!cancellations_.AddReported(id)) return;
   StopJob(now, id);
+  // A leader whose replica lags stores that what depends on it is cancelled too.
+  for (const std::string& dependent : dependencies_.DependentsOf(id)) AddOrphan(dependent);
   for (int shard_id = 0; shard_id < settings_.shard_count(); ++shard_id) {
     if (ShardAt(shard_id).is_leader) MarkDirty(shard_id);
   }
--- a/tests/pipelines_test.cc
+++ b/tests/pipelines_test.cc
@@ -189,6 +189,41 @@
   EXPECT_KEPT(w);
 }
 
+// A leader that hears of no change, but whose commits and checks are answered: nobody else stores
+// that jobs of its shard are cancelled with another one.
+struct LeaderThatHearsOfNoChange : World {
+  LeaderThatHearsOfNoChange() {
+    Run(kReady);
+    AcceptLongPipeline(*this);
+    const JobRecord record = *DecodeJob(wire::Pack(state.items.at(JobKey("job-2")).value));
+    leader = static_cast<size_t>(LeaderOf(record.shard_id));
+    cut_from_watch.insert(leader);
+    Run(4 * kSecond);  // the watch that is open still tells of changes
+  }
+  size_t leader = 0;
+};
+
+TEST(Pipelines, ALeaderThatHearsOfACancellationFromAPeerCancelsWhatDependsOnIt) {
+  LeaderThatHearsOfNoChange w;
+  EXPECT_EQ(w.AskUntil((w.leader + 1) % 3, "POST", "/api/jobs/job-1/abort").status, 200);
+  EXPECT_TRUE(w.Until([&] { return Tells(w, w.leader, "job-2", "cancelled"); }, 5 * kSecond));
+  EXPECT_KEPT(w);
+}
+
+TEST(Pipelines, ALeaderThatHearsOfNothingDoesNotCallWhatMayBeCancelledQueued) {
+  LeaderThatHearsOfNoChange w;
+  w.cut_from_mesh.insert(w.leader);
+  EXPECT_EQ(w.AskUntil((w.leader + 1) % 3, "POST", "/api/jobs/job-1/abort").status, 200);
+  for (int s = 0; s < 60; ++s) {
+    w.Ask(w.leader, "GET", "/api/jobs/job-2");
+    w.Run(kSecond);
+  }
+  w.cut_from_watch.clear();
+  w.cut_from_mesh.clear();
+  EXPECT_TRUE(w.Until([&] { return Tells(w, w.leader, "job-2", "cancelled"); }, 20 * kSecond));
+  EXPECT_KEPT(w);
+}
+
 TEST(Pipelines, LeadersThatChangeStartNothingTooEarly) {
   World w;
   w.Run(kReady);
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -240,6 +240,10 @@
 
 void World::Carry(size_t node, const Call& call) {
   const uint64_t boot = nodes_[node].boot;
+  if (cut_from_watch.count(node) != 0 && call.method == "GET") {
+    FailCall(node, boot, call);
+    return;
+  }
   if (call.dest == Dest::kWatch) {
     watches_.push_back({node, boot, call, std::stoull(QueryParameter(call.target, "from")),
                         now + std::stoll(QueryParameter(call.target, "hold_ms")) * kMilli});
--- a/tests/world.h
+++ b/tests/world.h
@@ -84,6 +84,7 @@
   std::set<size_t> cut_from_state;                // requests of these get no answer
   std::set<size_t> refused_by_state;              // these get 503
   std::set<size_t> cut_from_workers;              // these and the workers do not reach each other
+  std::set<size_t> cut_from_watch;                // watches and lists of these get no answer
   bool state_busy = false;                        // 429 to all but renewals and watches
   Micros state_latency = 0;                       // beyond the usual one, both ways together
   std::set<size_t> cut_from_mesh;                 // these hear no sibling and are not heard
