--- a/tests/large_fleet_test.cc
+++ b/tests/large_fleet_test.cc
@@ -122,7 +122,7 @@
   for (int i = 0; i < kMachines; ++i) {
     FakeWorker& worker = w.AddWorker("small", false);
     worker.node = 0;
-    worker.next_report += (i % 200) * 10 * kMilli;
+    worker.next_report += static_cast<Micros>(i % 200) * 10 * kMilli;
   }
   w.Run(4 * kSecond);
   w.Kill(1);
