The compact form wherever values shrink or a transaction takes few changes

With 16 KiB a value and 4 changes a transaction the original form would call no job done, and values that shrink a little may leave chunks that no transaction divides. Steps of a change of form are bounded in bytes.

--- a/src/core/job_records.cc
+++ b/src/core/job_records.cc
@@ -15,12 +15,16 @@
 constexpr int64_t kPagePercent = 60;  // of a value's limit, for the pages of progress
 constexpr int64_t kFullPagePercent = 90;
 constexpr int64_t kMostPages = 64;
+// Of values in one transaction, of the 64 KiB that it may have: the last one may exceed this.
+constexpr size_t kMostValueBytes = size_t{40} * 1024;
 }  // namespace
 
 // Whether the transaction has room for one more write with a condition of its own. Two more
 // conditions are kept for the leadership record and a table's header.
 bool Core::HasRoomForWrite(const StateTxn& txn) const {
-  return static_cast<int>(txn.writes.size()) < Limits().txn_ops &&
+  size_t bytes = 0;
+  for (const StateWrite& write : txn.writes) bytes += write.value.size();
+  return bytes < kMostValueBytes && static_cast<int>(txn.writes.size()) < Limits().txn_ops &&
          static_cast<int>(txn.conditions.size()) + 2 < Limits().conditions();
 }
 
--- a/src/core/table_form.cc
+++ b/src/core/table_form.cc
@@ -20,8 +20,10 @@
 namespace troutlink {
 
 namespace {
-// With values below this size a table is stored in the compact form.
+// With smaller values, or fewer changes in a transaction, a table is stored in the compact form:
+// commits of the original one need room for chunks, done jobs and progress together.
 constexpr int64_t kCompactBelowBytes = int64_t{8} * 1024;
+constexpr int kCompactBelowOps = 12;
 // Of a value's limit: so full may the largest chunk be at first, and before there is one more.
 constexpr int64_t kFirstFillPercent = 60;
 constexpr int64_t kGrowPercent = 75;
@@ -30,8 +32,11 @@
 }  // namespace
 
 bool Core::NeedsCompactForm(const Shard& shard) const {
-  return all_nodes_current_ && shard.assignments.form == TableForm::kOriginal &&
-         Limits().value_bytes < kCompactBelowBytes;
+  if (!all_nodes_current_ || shard.assignments.form == TableForm::kCompact) return false;
+  const StateLimits& limits = Limits();
+  // Values that shrink may leave chunks that can be divided in no transaction.
+  return limits.value_bytes < kCompactBelowBytes || limits.txn_ops < kCompactBelowOps ||
+         limits.value_bytes < settings_.state_limits.value_bytes;
 }
 
 // Whether another shard may change this one's table: not while it changes its form.
@@ -68,13 +73,18 @@
 bool Core::MigrateTable(Micros now, int shard_id) {
   AssignmentTable next = ShardAt(shard_id).assignments;
   const int first = next.unmigrated_from;
-  const int end = std::min(next.chunks, first + Limits().txn_ops - 1);
-  next.unmigrated_from = end == next.chunks ? 0 : end;
   StateTxn txn;
-  for (int chunk = first; chunk < end; ++chunk) {
+  int end = first;
+  for (; end < next.chunks; ++end) {
+    // One write is for the header.
+    if (end > first &&
+        (static_cast<int>(txn.writes.size()) + 1 >= Limits().txn_ops || !HasRoomForWrite(txn))) {
+      break;
+    }
     txn.writes.push_back(
-        {AssignmentKey(shard_id, chunk, next.form), EncodeChunk(next, chunk), 0, false});
+        {AssignmentKey(shard_id, end, next.form), EncodeChunk(next, end), 0, false});
   }
+  next.unmigrated_from = end == next.chunks ? 0 : end;
   txn.writes.push_back({AssignmentKey(shard_id, 0, next.form), EncodeChunk(next, 0), 0, false});
   return CommitAlone(now, shard_id, std::move(next), std::move(txn));
 }
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -329,6 +329,30 @@
   EXPECT_KEPT(w_);
 }
 
+// Only the number of changes is small, and a value that shrinks but a little.
+TEST(UpgradeToOtherLimits, FewChangesOfLargeValuesAndSlightlySmallerValuesAreKeptToAsWell) {
+  for (double value_kb : {16.0, 10.0}) {
+    World w(3, [value_kb](Json* facts) {
+      (*facts)["state"]["next"] = {{"value_kb", value_kb}, {"txn_ops", 4}};
+    });
+    w.cloud.capacity = 200;
+    w.version_1 = {0, 1, 2};
+    w.Run(kReady);
+    for (int i = 0; i < 40; ++i) {
+      const std::string id = "job-" + std::to_string(100 + i);
+      w.SetRunTime(id, (20 + i) * kSecond);
+      Accept(w, static_cast<size_t>(i % 3), World::Array(id, 10 + i % 7));
+    }
+    w.Run(15 * kSecond);
+    w.LowerStateLimits();
+    w.version_1.clear();
+    for (int i = 0; i < 40; ++i) {
+      EXPECT_TRUE(DoneWithin(w, "job-" + std::to_string(100 + i), 240 * kSecond)) << i;
+    }
+    EXPECT_KEPT(w);
+  }
+}
+
 TEST_F(Upgrade, AJobThatNoValueCanHoldIsRefused) {
   w_.version_1.clear();
   w_.Run(kReady);
