--- a/tests/random_faults_test.cc
+++ b/tests/random_faults_test.cc
@@ -17,8 +17,9 @@
 class RandomFaults {
  public:
   // With kUpgrade all nodes begin with version 1 and are upgraded one after the other; then
-  // users submit pipelines, and at some moment the state service has smaller limits.
-  enum class Mode { kOrdinary, kUpgrade };
+  // users submit pipelines, and at some moment the state service has smaller limits. With
+  // kPipelines nearly all jobs depend on others from the beginning, and cancellations are many.
+  enum class Mode { kOrdinary, kUpgrade, kPipelines };
   explicit RandomFaults(unsigned seed, Mode mode = Mode::kOrdinary);
 
   // Plays the seed to its end, or to the first broken rule.
@@ -41,12 +42,17 @@
   void SubmitSpec(const JobSpec& spec);
   JobSpec OrdinaryJob();
   void SubmitMistaken();
+  void GrowPipelines();
   void SubmitGuests();
   void Cancel(const std::string& id, size_t node);
   void UsersAct();
   void Question();
 
   void AddDependencies(JobSpec* spec);
+  bool SubmitsPipelines() const {
+    return mode_ == Mode::kPipelines || (mode_ == Mode::kUpgrade && w_.version_1.empty());
+  }
+  int MostJobs() const { return mode_ == Mode::kPipelines ? 60 : 24; }
 
   // --- faults ---
   void PlanUpgrade();
@@ -106,7 +112,9 @@
 }
 
 RandomFaults::RandomFaults(unsigned seed, Mode mode)
-    : mode_(mode), rng_(seed), w_(3, mode == Mode::kUpgrade ? AddGuestsAndSmallLimits : AddGuests) {
+    : mode_(mode),
+      rng_(seed),
+      w_(3, mode == Mode::kOrdinary ? AddGuests : AddGuestsAndSmallLimits) {
   if (mode == Mode::kUpgrade) w_.version_1 = {0, 1, 2};
   w_.cloud.capacity = 200;
   for (int i = 0; i < 8; ++i) {
@@ -126,6 +134,9 @@
 void RandomFaults::Play() {
   w_.Run(kReady);
   if (mode_ == Mode::kUpgrade) PlanUpgrade();
+  if (mode_ == Mode::kPipelines) {
+    due_.push_back({w_.now + Draw(20, 90) * kSecond, [this] { w_.LowerStateLimits(); }, false});
+  }
   for (int i = 0; i < 6; ++i) SubmitSpec(OrdinaryJob());
   const Micros end = w_.now + 150 * kSecond;
   while (w_.now < end) {
@@ -197,14 +208,14 @@
     spec.spot = Chance(0.7);
     spec.priority = Chance(0.3) ? Priority::kLow : Priority::kNormal;
     w_.SetRunTime(id, Draw(500, 25000) * kMilli);
-    if (mode_ == Mode::kUpgrade && w_.version_1.empty()) AddDependencies(&spec);
+    if (SubmitsPipelines()) AddDependencies(&spec);
   }
   return spec;
 }
 
 // On arrays that were accepted, in whatever state they are.
 void RandomFaults::AddDependencies(JobSpec* spec) {
-  for (int i = Draw(0, 3); i > 0; --i) {
+  for (int i = specs_.empty() ? 0 : Draw(0, 3); i > 0; --i) {
     const std::string id = AnyJob();
     const Users::Known* known = w_.users.Find(id);
     if (known == nullptr || known->accepted == 0 || known->spec.kind != JobKind::kArray) continue;
@@ -224,6 +235,20 @@
   due_.push_back({w_.now + Draw(5, 60) * kSecond, [this, id, node] { Cancel(id, node); }, false});
 }
 
+// More stages, and now and then the end of a job that has some after it, asked for at one node
+// while the others are asked about the rest.
+void RandomFaults::GrowPipelines() {
+  for (int i = Draw(0, 2); i > 0 && ordinary_ < MostJobs(); --i) SubmitSpec(OrdinaryJob());
+  if (!Chance(0.2)) return;
+  const std::string head = AnyJob();
+  Cancel(head, Node());
+  for (const auto& [id, spec] : specs_) {
+    const auto& names = spec.dependencies;
+    if (std::find(names.begin(), names.end(), head) == names.end()) continue;
+    for (size_t node = 0; node < 3; ++node) w_.Ask(node, "GET", "/api/jobs/" + id);
+  }
+}
+
 // One huge array of low priority, and many of one task.
 void RandomFaults::SubmitGuests() {
   guests_came_ = true;
@@ -251,8 +276,9 @@
 }
 
 void RandomFaults::UsersAct() {
-  if (ordinary_ < 24 && Chance(0.3)) SubmitSpec(OrdinaryJob());
-  if (ordinary_ < 24 && Chance(0.06)) SubmitMistaken();
+  if (ordinary_ < MostJobs() && Chance(0.3)) SubmitSpec(OrdinaryJob());
+  if (ordinary_ < MostJobs() && Chance(0.06)) SubmitMistaken();
+  if (mode_ == Mode::kPipelines) GrowPipelines();
   if (!guests_came_ && Chance(0.04)) SubmitGuests();
   for (int i = 0; i < 3; ++i) w_.Ask(Node(), "GET", "/api/jobs/" + AnyJob());
   if (Chance(0.3)) w_.Submit(Node(), specs_[AnyJob()]);  // a repeat
@@ -500,5 +526,9 @@
   PlaySeeds(RandomFaults::Mode::kUpgrade);
 }
 
+TEST(FaultCombinations, AnyTroublesAmongPipelinesBreakNoRule) {
+  PlaySeeds(RandomFaults::Mode::kPipelines);
+}
+
 }  // namespace
 }  // namespace troutlink::test
--- a/tests/rule_checker.cc
+++ b/tests/rule_checker.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <map>
 
+#include "wire/pack.h"
+
 namespace troutlink::test {
 namespace {
 
@@ -20,8 +22,9 @@
 }  // namespace
 
 RuleChecker::RuleChecker(const Settings& settings, const Users& users, const Workers& workers,
-                         const std::set<std::pair<std::string, int>>& results)
-    : settings_(settings), users_(users), workers_(workers), results_(results) {}
+                         const std::set<std::pair<std::string, int>>& results,
+                         const FakeState& state)
+    : settings_(settings), users_(users), workers_(workers), results_(results), state_(state) {}
 
 void RuleChecker::Break(const std::string& what) {
   if (std::find(broken.begin(), broken.end(), what) == broken.end()) broken.push_back(what);
@@ -115,4 +118,42 @@
   }
 }
 
+// What the tables hold, read from the state service and not from any node.
+void RuleChecker::ReadAssigned() {
+  if (assigned_revision_ == state_.revision) return;
+  assigned_revision_ = state_.revision;
+  assigned_.clear();
+  for (const auto& [name, item] : state_.items) {
+    const Key key = ParseKey(name);
+    if (key.kind != Key::Kind::kAssignments) continue;
+    AssignmentTable table;
+    table.form = key.form;
+    if (!DecodeChunk(wire::Pack(item.value), key.chunk, &table)) {
+      Break("unreadable " + name);
+      continue;
+    }
+    for (const auto& [machine, assigned] : table.machines) {
+      for (const Attempt& attempt : assigned.attempts) assigned_.insert({machine, attempt});
+    }
+  }
+}
+
+void RuleChecker::CheckAssigned(Micros now) {
+  ReadAssigned();
+  std::map<Assigned, Micros> since;
+  for (const auto& [name, worker] : workers_) {
+    if (worker->dead || (worker->hung && now - worker->lease_from > kWorkerLease)) continue;
+    for (const auto& [key, task] : worker->tasks) {
+      const Assigned held{name, {key.first, key.second, task.attempt}};
+      if (task.state == TaskState::kExited || assigned_.count(held) != 0) continue;
+      const auto before = unassigned_since_.find(held);
+      since[held] = before == unassigned_since_.end() ? now : before->second;
+      if (now - since[held] > UnassignedBound()) {
+        Break("unassigned " + TaskName(key.first, key.second) + " on " + name);
+      }
+    }
+  }
+  unassigned_since_ = std::move(since);
+}
+
 }  // namespace troutlink::test
--- a/tests/rule_checker.h
+++ b/tests/rule_checker.h
@@ -2,12 +2,15 @@
 #ifndef TROUTLINK_TESTS_RULE_CHECKER_H_
 #define TROUTLINK_TESTS_RULE_CHECKER_H_
 
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "config/settings.h"
+#include "core/records.h"
+#include "fake_state.h"
 #include "fake_worker.h"
 #include "users.h"
 
@@ -26,11 +29,19 @@
 //   too_early      a task starts before all jobs that its job depends on are done
 //   orphaned       a job is called queued or running later than `cancel_s` after its user was
 //                  told that a job that it depends on is cancelled
+//   unassigned     a task is on a machine, not ended, longer than UnassignedBound() after the last
+//                  moment at which an assignment table in the state service held its attempt
 class RuleChecker {
  public:
   // All of these must outlive it.
   RuleChecker(const Settings& settings, const Users& users, const Workers& workers,
-              const std::set<std::pair<std::string, int>>& results);
+              const std::set<std::pair<std::string, int>>& results, const FakeState& state);
+
+  // A task that no table holds is stopped by its leader in the answer to the next report. Where
+  // no leader is heard its lease may be renewed for as long as that of a cancelled task, until
+  // `cancel_s` after the last word of the state service, and then runs out; a worker's round of
+  // all nodes comes before.
+  Micros UnassignedBound() const { return settings_.cancel + settings_.lease; }
 
   // A task begins to run on that machine.
   void OnStart(Micros now, const FakeWorker& on, const std::string& job, int task);
@@ -38,6 +49,8 @@
   void OnAnswer(const UserAnswer& answer);
   // Looks at everything that runs at this moment.
   void CheckRunning(Micros now);
+  // Looks for tasks that no assignment table holds.
+  void CheckAssigned(Micros now);
   // Notes a broken rule. The same one is noticed at many steps and noted once.
   void Break(const std::string& what);
 
@@ -52,6 +65,14 @@
   const Users& users_;
   const Workers& workers_;
   const std::set<std::pair<std::string, int>>& results_;
+  const FakeState& state_;
+  // A machine, and an attempt on it or in its assignment table.
+  using Assigned = std::pair<std::string, Attempt>;
+  void ReadAssigned();
+
+  uint64_t assigned_revision_ = 0;               // of the state service, when tables were read
+  std::set<Assigned> assigned_;                  // by any table
+  std::map<Assigned, Micros> unassigned_since_;  // tasks that no table holds
 };
 
 }  // namespace troutlink::test
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -9,6 +9,7 @@
 constexpr Micros kLatency = 2 * kMilli;
 constexpr Micros kTick = 50 * kMilli;
 constexpr Micros kCheck = 20 * kMilli;
+constexpr Micros kAssignedCheck = 1000 * kMilli;
 constexpr Micros kReport = 2 * kSecond;
 constexpr Micros kReportTimeout = 4 * kSecond;
 constexpr Micros kWallClock = 1'700'000'000 * kSecond;
@@ -35,7 +36,7 @@
 // --- setting up ---------------------------------------------------------------
 
 World::World(int nodes, const std::function<void(Json* facts)>& change)
-    : rules(settings, users, workers, results),
+    : rules(settings, users, workers, results, state),
       cloud(
           &workers,
           [this](const std::string& type, bool spot) -> FakeWorker& {
@@ -447,6 +448,10 @@
     next_check_ = now + kCheck;
     rules.CheckRunning(now);
   }
+  if (now >= next_assigned_check_) {
+    next_assigned_check_ = now + kAssignedCheck;
+    rules.CheckAssigned(now);
+  }
   if (!state_down) state.Expire(now);
   TickNodes();
   AdvanceWorkers();
--- a/tests/world.h
+++ b/tests/world.h
@@ -193,6 +193,7 @@
   void RunEvents();
 
   Micros next_check_ = 0;
+  Micros next_assigned_check_ = 0;
   std::vector<Node> nodes_;
   std::vector<Event> events_;
   std::vector<std::function<void()>> held_mesh_;
