--- /dev/null
+++ b/src/core/event.h
@@ -0,0 +1,37 @@
+// One structured line of the log: `event=NAME key=value ...`.
+#ifndef TROUTLINK_CORE_EVENT_H_
+#define TROUTLINK_CORE_EVENT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/micros.h"
+
+namespace troutlink {
+
+// Builds the line field by field. Values have no spaces; texts that may have are put last.
+class Event {
+ public:
+  explicit Event(std::string_view name) { text_.append("event=").append(name); }
+
+  Event& With(std::string_view key, std::string_view value) {
+    text_.append(" ").append(key).append("=").append(value);
+    return *this;
+  }
+  Event& With(std::string_view key, uint64_t value) { return With(key, std::to_string(value)); }
+  Event& With(std::string_view key, int value) { return With(key, std::to_string(value)); }
+  // A span of time, in milliseconds.
+  Event& WithSpan(std::string_view key, Micros span) {
+    return With(key, std::to_string(span / kMilli));
+  }
+
+  const std::string& text() const { return text_; }
+
+ private:
+  std::string text_;
+};
+
+}  // namespace troutlink
+
+#endif  // TROUTLINK_CORE_EVENT_H_
--- /dev/null
+++ b/src/core/permits.h
@@ -0,0 +1,115 @@
+// Decides whether an action on a worker's tasks, or an answer to a user, is allowed by what is
+// known. Pure functions: each takes the facts and returns a permit or the reason of a refusal.
+//
+// Starts, renewals of leases and answers about open jobs are encoded by functions that take a
+// permit, so that no path can leave a check out. The argument that these checks keep the rules
+// is in docs/design.md.
+#ifndef TROUTLINK_CORE_PERMITS_H_
+#define TROUTLINK_CORE_PERMITS_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "base/micros.h"
+#include "base/result.h"
+
+namespace troutlink {
+
+// What is known of a job: the one answer that every decision is made from.
+enum class JobFate {
+  kUnknown,    // the replica does not hold it
+  kBlocked,    // depends on a job that is not known to be done
+  kOpen,       // may start
+  kCancelled,  // by its record, by a peer's word, or with a job that it depends on
+  kDone,
+};
+
+// Whether tasks of the job have to end.
+constexpr bool IsOver(JobFate fate) {
+  return fate == JobFate::kCancelled || fate == JobFate::kDone;
+}
+
+// Why an action is refused. kRefusals counts them.
+enum class Refusal {
+  kNotLeader,           // the node does not lead the shard
+  kNotAssigned,         // no assignment table in the replica holds the attempt
+  kJobUnknown,          // the replica does not hold the job
+  kJobBlocked,          // a job that it depends on is not done
+  kJobOver,             // the job is cancelled or done
+  kStoodStill,          // the node stood still and has not looked around since
+  kCancellationsStale,  // a peer may have told a cancellation that is not known here
+  kReplicaStale,        // the replica may lack a cancellation that users were told of
+};
+inline constexpr size_t kRefusals = 8;
+// As in logs and metrics.
+std::string_view NameOf(Refusal refusal);
+
+// The right to start one attempt now.
+class StartPermit {
+ private:
+  StartPermit() = default;
+  friend struct StartFacts;
+};
+
+// What a start is judged by, at the moment at which its command is encoded.
+struct StartFacts {
+  bool is_leader = false;
+  bool assigned = false;  // the shard's committed table holds the attempt on that machine
+  bool stood_still = false;
+  JobFate fate = JobFate::kUnknown;
+  Micros now = 0;
+  Micros cancellations_bound = 0;  // until then no unknown cancellation can be overrun
+
+  Result<StartPermit, Refusal> Judge() const;
+};
+
+// The right to renew the lease of a worker, which goes on with all that it reported.
+class RenewalPermit {
+ private:
+  RenewalPermit() = default;
+  friend struct RenewalFacts;
+};
+
+// What a renewal is judged by. `allowance`: how much longer what is under way may take to be
+// fenced, for a node that renews on behalf of another.
+struct RenewalFacts {
+  Micros now = 0;
+  Micros cancellations_bound = 0;
+  Micros allowance = 0;
+
+  Result<RenewalPermit, Refusal> Judge() const;
+};
+
+// The right to call a job queued or running.
+class OpenAnswerPermit {
+ private:
+  OpenAnswerPermit() = default;
+  friend struct OpenAnswerFacts;
+};
+
+// What such an answer is judged by. The job's own record has just been compared with the state
+// service; the jobs that it depends on are known by the replica alone.
+struct OpenAnswerFacts {
+  JobFate fate = JobFate::kUnknown;
+  bool has_dependencies = false;
+  Micros replica_age = 0;
+  Micros most_age = 0;  // at which the replica holds what users were told `cancel_s` ago
+
+  Result<OpenAnswerPermit, Refusal> Judge() const;
+};
+
+// How often each action was refused.
+class RefusalCounts {
+ public:
+  void Add(Refusal refusal) { ++counts_[static_cast<size_t>(refusal)]; }
+  uint64_t Of(Refusal refusal) const { return counts_[static_cast<size_t>(refusal)]; }
+
+ private:
+  std::array<uint64_t, kRefusals> counts_{};
+};
+
+}  // namespace troutlink
+
+#endif  // TROUTLINK_CORE_PERMITS_H_
