Permits decide starts, renewals and answers; a former leader stops what no table holds

One answer to what is known of a job (FateOf) in place of four, and pure functions that judge a start, a renewal or an answer at the moment at which it is encoded. Fault 1: a former leader renewed leases of tasks that its table lacks, cancelled ones too. Fault 2: a submission with dependencies was passed on to a peer whose version is not known. Invariants are counted, logged and checked by every story. Log lines of leadership, replica, cancellations, starts and renewals are structured; single permits at debug.

--- a/src/core/cancellations.cc
+++ b/src/core/cancellations.cc
@@ -59,11 +59,11 @@
   return bound;
 }
 
-bool CancellationLog::MayRenewLeases(Micros now) const {
+Micros CancellationLog::RenewalBound(Micros now) const {
   // A steady clock begins near 0 with its machine: never having known anything must not
   // look like having known all a moment ago.
-  if (!ReplicaWasComplete()) return false;
-  return now < KnownUpTo(now) + Shortest(cancel_) - Longest(lease_) - kRenewMargin;
+  if (!ReplicaWasComplete()) return 0;
+  return KnownUpTo(now) + Shortest(cancel_) - Longest(lease_) - kRenewMargin;
 }
 
 }  // namespace troutlink
--- a/src/core/cancellations.h
+++ b/src/core/cancellations.h
@@ -56,9 +56,10 @@
 
   // The time up to which every peer's cancels are known; `now` without peers.
   Micros KnownUpTo(Micros now) const;
-  // Whether leases of workers may be renewed: no peer can have told a cancel early enough for
-  // its tasks to outlive `cancel` because of us.
-  bool MayRenewLeases(Micros now) const;
+  // Until then leases of workers may be renewed: no peer can have told a cancel early enough for
+  // its tasks to outlive `cancel` because of us. 0: never.
+  Micros RenewalBound(Micros now) const;
+  bool MayRenewLeases(Micros now) const { return now < RenewalBound(now); }
 
   static constexpr size_t kMaxCommitted = 4000;  // cancels of the replica that are kept
   static constexpr size_t kMaxInMessage = 4000;  // cancels with which reported ones are left out
--- a/src/core/commands.cc
+++ b/src/core/commands.cc
@@ -59,13 +59,15 @@
   std::set<Attempt> reported;
   for (const TaskReport& task : report.tasks) {
     reported.insert({task.job, task.task, task.attempt});
-    OrderForTask(now, shard_id, machine, clean, task, &orders);
+    OrderForTask(now, machine, clean, task, &orders);
+  }
+  if (ShardAt(shard_id).is_leader && clean) {
+    RepeatStarts(now, shard_id, machine, report, reported, &orders);
   }
-  if (ShardAt(shard_id).is_leader && clean) RepeatStarts(machine, report, reported, &orders);
   return orders;
 }
 
-void Core::OrderForTask(Micros now, int shard_id, const AssignedMachine& machine, bool clean,
+void Core::OrderForTask(Micros now, const AssignedMachine& machine, bool clean,
                         const TaskReport& task, std::vector<Command>* orders) {
   const Attempt attempt{task.job, task.task, task.attempt};
   AttemptInfo* known = FindAttempt(attempt);
@@ -78,11 +80,12 @@
     return;
   }
   if (known == nullptr || known->gone || known->machine != machine.name) {
-    // Intended by nobody: its record was removed when it was proven gone, or
-    // the machine was taken over from a past that nobody remembers.
-    if (ShardAt(shard_id).is_leader) {
-      orders->push_back({Command::Op::kStop, task.job, task.task, task.attempt, 0});
-    }
+    // Intended by nobody: its record was removed when it was proven gone, or the machine was taken
+    // over from a past that nobody remembers. A former leader stops it as well: under a token up
+    // to its own only its own table, or an earlier one, can have started it, and whoever leads
+    // after it shows a higher token. It renewed the lease of such a task as long as the state
+    // service was down, also when the job was cancelled.
+    orders->push_back({Command::Op::kStop, task.job, task.task, task.attempt, 0});
     return;
   }
   if (JobOver(task.job)) StopAttempt(now, attempt, known, 0);
@@ -96,8 +99,9 @@
 }
 
 // Starts whose command got lost.
-void Core::RepeatStarts(const AssignedMachine& machine, const Report& report,
-                        const std::set<Attempt>& reported, std::vector<Command>* orders) {
+void Core::RepeatStarts(Micros now, int shard_id, const AssignedMachine& machine,
+                        const Report& report, const std::set<Attempt>& reported,
+                        std::vector<Command>* orders) {
   for (const Attempt& attempt : machine.attempts) {
     if (reported.count(attempt) != 0) continue;
     AttemptInfo* known = FindAttempt(attempt);
@@ -106,10 +110,12 @@
       continue;
     }
     if (known->session != 0 && known->session != report.session) continue;
+    const std::optional<StartPermit> permit = JudgeStart(now, shard_id, machine.name, attempt);
+    if (!permit) continue;
     known->session = report.session;
     known->reply_seq = report.seq;
     ++counters_.starts;
-    orders->push_back({Command::Op::kStart, attempt.job, attempt.task, attempt.number, 0});
+    orders->push_back(StartCommand(*permit, attempt));
   }
 }
 
@@ -158,13 +164,14 @@
       commands.stopped.push_back(attempt);
     } else if (known->fresh && !known->seen && !known->stopping && !over && known->session == 0 &&
                clean) {
+      const std::optional<StartPermit> permit = JudgeStart(now, shard_id, machine.name, attempt);
+      if (!permit) continue;
       known->direct = true;
       known->start_token = commands.token;
       known->session = info.session;
       commands.started.push_back(attempt);
       ++counters_.starts;
-      commands.orders.push_back(
-          {Command::Op::kStart, attempt.job, attempt.task, attempt.number, 0});
+      commands.orders.push_back(StartCommand(*permit, attempt));
     }
   }
   return commands;
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -96,6 +96,7 @@
 }
 
 void Core::Log(LogLine::Level level, std::string text) {
+  if (level == LogLine::Level::kDebug && !log_details_) return;
   out_.log.push_back({level, std::move(text)});
 }
 
@@ -277,6 +278,27 @@
   put("overdue_total", c.overdue);
   put("preempted_total", c.preempted);
   put("fencing_raises_total", c.fencing_raises);
+  put("renewed_total", c.renewed);
+  put("renewed_as_former_leader_total", c.renewed_as_former_leader);
+  put("replica_lists_total", c.lists);
+  put("replica_watches_total", c.watches);
+  put("replica_revision", feed_.revision());
+  put("replica_age_ms", static_cast<uint64_t>((now - feed_.complete_up_to()) / kMilli));
+  const Micros bound = cancellations_.RenewalBound(now);
+  put("renewal_bound_ms", static_cast<uint64_t>(std::max<Micros>(0, bound - now) / kMilli));
+  put("cancellations_total", c.cancellations);
+  put("told_cancellations_total", c.told_cancellations);
+  put("kept_from_forwarding_total", c.kept_from_forwarding);
+  for (size_t i = 0; i < kRefusals; ++i) {
+    const auto refusal = static_cast<Refusal>(i);
+    put(("permits_refused_total{reason=\"" + std::string(NameOf(refusal)) + "\"}").c_str(),
+        refusals_.Of(refusal));
+  }
+  for (size_t i = 0; i < kViolations; ++i) {
+    const auto violation = static_cast<Violation>(i);
+    put(("invariant_violations_total{kind=\"" + std::string(NameOf(violation)) + "\"}").c_str(),
+        violations_.Of(violation));
+  }
   put("orphans_total", c.orphans);
   put("refused_by_limits_total", c.refused_by_limits);
   put("cluster_version", all_nodes_current_ ? kStoredFormVersion : kStoredFormVersion - 1);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -21,6 +21,7 @@
 #include "core/health.h"
 #include "core/io.h"
 #include "core/offer_health.h"
+#include "core/permits.h"
 #include "core/placement.h"
 #include "core/records.h"
 #include "core/replica_feed.h"
@@ -32,6 +33,10 @@
 struct Counters {
   uint64_t submissions = 0, accepted = 0, refused = 0, polls = 0, aborts = 0;
   uint64_t reports = 0, redirects = 0, relays = 0, forwards = 0, renewed_on_behalf = 0;
+  uint64_t renewed = 0, renewed_as_former_leader = 0;
+  uint64_t lists = 0, watches = 0;                     // of the state service, that were answered
+  uint64_t cancellations = 0, told_cancellations = 0;  // in the replica, by peers before it
+  uint64_t kept_from_forwarding = 0;
   uint64_t rounds = 0, oversized = 0;
   uint64_t commits = 0, commit_conflicts = 0, commit_unknown = 0, puts = 0;
   uint64_t busy_answers = 0;  // 429s
@@ -65,6 +70,10 @@
     return shards_[static_cast<size_t>(shard_id)].assignments;
   }
   std::string MetricsText(Micros now) const;
+  // Actions that must never have come up for decision, and were not carried out.
+  const Tally<Violation, kViolations>& violations() const { return violations_; }
+  // Whether single permits are logged, at level debug.
+  void SetDetailedLog(bool detailed) { log_details_ = detailed; }
 
  private:
   struct AttemptInfo;
@@ -318,6 +327,7 @@
   void Route(Micros now, const Request& request);
   // Whether a request was passed on by a peer or to one, or is answered already.
   bool HasCopy(uint64_t request) const;
+  bool MayPassOn(const Request& request) const;
   bool ForwardRequest(Micros now, OpenRequest* open);
   void RunForwards(Micros now);
   // The last answer to a request that nobody is at work on any more.
@@ -349,10 +359,11 @@
   void FetchJob(Micros now, const std::string& id);
   // The same, and goes on; `read`: the replica has it now, if there is such a job.
   void ReadJob(Micros now, const std::string& id, std::function<void(Micros now, bool read)> then);
-  bool KnowsFateOf(Micros now, const JobEntry& entry) const;
   // Whether the replica has all cancellations that users were told of long ago.
   bool KnowsCancellations(Micros now) const;
-  JobStatus StatusOf(const std::string& id, const JobEntry& entry) const;
+  void AnswerOpen(const OpenAnswerPermit& permit, const Query& query, const JobEntry& entry);
+  void AnswerFinished(const Query& query, const JobEntry& entry);
+  JobStatus StatusOfOpen(const std::string& id, const JobEntry& entry) const;
 
   // --- choice of a shard for a job (shard_choice.cc) -------------------------------
   struct Room {
@@ -471,7 +482,7 @@
   // Whether to keep the leases of a shard's workers alive for a leader that ended
   // while nobody can reach the state service to take its place.
   bool MayRenewOnBehalf(Micros now, int shard_id, const Report& report) const;
-  void RenewOnBehalf(const ReportSource& source, const Report& report);
+  void RenewOnBehalf(const RenewalPermit& permit, const ReportSource& source, const Report& report);
   void AnswerAsLeader(Micros now, const ReportSource& source, int shard_id, const Report& report);
   void AnswerReport(const ReportSource& source, int status, std::string body);
   // Stops of what a report shows of jobs that are over: each answer that renews a lease
@@ -512,9 +523,9 @@
   // The orders that answer a report which was taken.
   std::vector<Command> MakeOrders(Micros now, int shard_id, const AssignedMachine& machine,
                                   const Report& report);
-  void OrderForTask(Micros now, int shard_id, const AssignedMachine& machine, bool clean,
-                    const TaskReport& task, std::vector<Command>* orders);
-  void RepeatStarts(const AssignedMachine& machine, const Report& report,
+  void OrderForTask(Micros now, const AssignedMachine& machine, bool clean, const TaskReport& task,
+                    std::vector<Command>* orders);
+  void RepeatStarts(Micros now, int shard_id, const AssignedMachine& machine, const Report& report,
                     const std::set<Attempt>& reported, std::vector<Command>* orders);
   // Commands that are sent without waiting for a report.
   struct DirectCommands {
@@ -544,7 +555,22 @@
   void RaiseFencingToken(int shard_id, MachineInfo* info, uint64_t token);
   void StopAttempt(Micros now, const Attempt& attempt, AttemptInfo* info, Micros grace);
   void StopJob(Micros now, const std::string& job);
-  bool JobOver(const std::string& job) const;  // cancelled or done
+
+  // --- what is known of a job, and permits (job_fate.cc) ---------------------------
+  JobFate FateOf(const std::string& id) const;
+  bool JobOver(const std::string& id) const;  // cancelled or done
+  void NoteViolation(Violation violation, const std::string& known);
+  void LogCancellation(Micros now, const std::string& id, std::string_view source);
+  // Whether the replica of the shard's table holds the attempt on that machine.
+  bool IsAssigned(int shard_id, const std::string& machine, const Attempt& attempt) const;
+  std::optional<StartPermit> JudgeStart(Micros now, int shard_id, const std::string& machine,
+                                        const Attempt& attempt);
+  static Command StartCommand(const StartPermit& permit, const Attempt& attempt);
+  // `allowance`: see RenewalFacts.
+  std::optional<RenewalPermit> JudgeRenewal(Micros now, Micros allowance = 0);
+  void AnswerRenewal(const RenewalPermit& permit, const ReportSource& source, const Report& report,
+                     uint64_t token, std::vector<Command> orders);
+
   void MarkDirty(int shard_id) { shards_[static_cast<size_t>(shard_id)].dirty = true; }
   void NoteImageUse(MachineInfo* info, const std::string& type, const std::string& image, double gb,
                     Micros now);
@@ -778,6 +804,9 @@
   Micros wall_offset_ = 0;
   Outbox out_;
   Counters counters_;
+  Tally<Refusal, kRefusals> refusals_;
+  Tally<Violation, kViolations> violations_;
+  bool log_details_ = true;
   uint64_t next_call_ = 1;
   std::unordered_map<uint64_t, Handler> pending_;
 
--- a/src/core/forwarding.cc
+++ b/src/core/forwarding.cc
@@ -56,8 +56,22 @@
   return open == open_.end() || open->second.forwarded_at != 0;
 }
 
+// A peer of version 1 would store a job without the dependencies that it does not know: its tasks
+// would start at once, and it would not be cancelled with the jobs before it.
+bool Core::MayPassOn(const Request& request) const {
+  if (all_nodes_current_ || request.method != "POST" || wire::ParseJobPath(request.target)) {
+    return true;
+  }
+  const wire::SpecResult spec = wire::DecodeSubmission(request.body);
+  return !spec || spec->dependencies.empty();
+}
+
 bool Core::ForwardRequest(Micros now, OpenRequest* open) {
   open->tried = true;
+  if (!MayPassOn(open->request)) {
+    ++counters_.kept_from_forwarding;
+    return false;
+  }
   std::string to = FreshPeer(now);
   if (to.empty()) return false;
   ++counters_.forwards;
--- a/src/core/heartbeats.cc
+++ b/src/core/heartbeats.cc
@@ -155,6 +155,8 @@
   const JobEntry* job = FindJob(id);
   if (job != nullptr && job->record.state != JobState::kOpen) return;
   if (!cancellations_.AddReported(id)) return;
+  ++counters_.told_cancellations;
+  LogCancellation(now, id, "peer");
   StopJob(now, id);
   // A leader whose replica lags stores that what depends on it is cancelled too.
   for (const std::string& dependent : dependencies_.DependentsOf(id)) AddOrphan(dependent);
--- /dev/null
+++ b/src/core/job_fate.cc
@@ -0,0 +1,128 @@
+// What is known of a job, and the permits that follow from it.
+#include <algorithm>
+
+#include "core/core.h"
+#include "core/event.h"
+
+namespace troutlink {
+
+JobFate Core::FateOf(const std::string& id) const {
+  const JobEntry* entry = FindJob(id);
+  if (entry != nullptr && entry->record.state == JobState::kDone) return JobFate::kDone;
+  const bool cancelled = entry != nullptr && entry->record.state == JobState::kCancelled;
+  if (cancelled || orphans_.count(id) != 0 || cancellations_.Reported(id)) {
+    return JobFate::kCancelled;
+  }
+  // Every attempt is of a job that was accepted: one that the replica lacks is yet to be read.
+  if (entry == nullptr) return JobFate::kUnknown;
+  return entry->blocked ? JobFate::kBlocked : JobFate::kOpen;
+}
+
+bool Core::JobOver(const std::string& id) const { return IsOver(FateOf(id)); }
+
+void Core::NoteViolation(Violation violation, const std::string& known) {
+  violations_.Add(violation);
+  Log(LogLine::Level::kError,
+      Event("invariant_violated").With("kind", NameOf(violation)).text() + " " + known);
+}
+
+// `source`: how it was learnt.
+void Core::LogCancellation(Micros now, const std::string& id, std::string_view source) {
+  if (!log_details_) return;
+  Log(LogLine::Level::kDebug, Event("cancellation")
+                                  .With("job", id)
+                                  .With("source", source)
+                                  .With("revision", feed_.revision())
+                                  .WithSpan("replica_age_ms", now - feed_.complete_up_to())
+                                  .text());
+}
+
+bool Core::IsAssigned(int shard_id, const std::string& machine, const Attempt& attempt) const {
+  const auto& machines = ShardAt(shard_id).assignments.machines;
+  auto found = machines.find(machine);
+  if (found == machines.end()) return false;
+  const std::vector<Attempt>& attempts = found->second.attempts;
+  return std::find(attempts.begin(), attempts.end(), attempt) != attempts.end();
+}
+
+std::optional<StartPermit> Core::JudgeStart(Micros now, int shard_id, const std::string& machine,
+                                            const Attempt& attempt) {
+  StartFacts facts;
+  facts.is_leader = ShardAt(shard_id).is_leader;
+  facts.assigned = IsAssigned(shard_id, machine, attempt);
+  facts.stood_still = StoodStill(now);
+  facts.fate = FateOf(attempt.job);
+  facts.now = now;
+  facts.cancellations_bound = cancellations_.RenewalBound(now);
+  const Result<StartPermit, Refusal> judged = facts.Judge();
+  const std::optional<Violation> violation =
+      judged ? std::nullopt : ViolationOf(judged.error().code);
+  if (!violation && !log_details_) {
+    if (judged) return *judged;
+    refusals_.Add(judged.error().code);
+    return std::nullopt;
+  }
+  const std::string known = Event("start")
+                                .With("job", attempt.job)
+                                .With("task", attempt.task)
+                                .With("attempt", attempt.number)
+                                .With("machine", machine)
+                                .With("shard", shard_id)
+                                .With("epoch", ShardAt(shard_id).epoch)
+                                .With("revision", feed_.revision())
+                                .WithSpan("replica_age_ms", now - feed_.complete_up_to())
+                                .WithSpan("bound_ms", facts.cancellations_bound - now)
+                                .With("refused", judged ? "no" : judged.error().text)
+                                .text();
+  if (violation) NoteViolation(*violation, known);
+  Log(LogLine::Level::kDebug, known);
+  if (judged) return *judged;
+  refusals_.Add(judged.error().code);
+  return std::nullopt;
+}
+
+Command Core::StartCommand(const StartPermit& /*permit*/, const Attempt& attempt) {
+  return {Command::Op::kStart, attempt.job, attempt.task, attempt.number, 0};
+}
+
+std::optional<RenewalPermit> Core::JudgeRenewal(Micros now, Micros allowance) {
+  const RenewalFacts facts{now, cancellations_.RenewalBound(now), allowance};
+  const Result<RenewalPermit, Refusal> judged = facts.Judge();
+  if (judged) return *judged;
+  refusals_.Add(judged.error().code);
+  return std::nullopt;
+}
+
+// The only place at which a lease is renewed. What the worker reported of jobs that are over must
+// be stopped by the same answer.
+void Core::AnswerRenewal(const RenewalPermit& /*permit*/, const ReportSource& source,
+                         const Report& report, uint64_t token, std::vector<Command> orders) {
+  for (const TaskReport& task : report.tasks) {
+    if (task.state == TaskState::kExited || !JobOver(task.job)) continue;
+    const bool stopped = std::any_of(orders.begin(), orders.end(), [&task](const Command& order) {
+      return order.op == Command::Op::kStop && order.job == task.job && order.task == task.task &&
+             order.attempt == task.attempt;
+    });
+    if (stopped) continue;
+    NoteViolation(Violation::kRenewalWithoutStop, Event("renewal")
+                                                      .With("machine", report.machine)
+                                                      .With("job", task.job)
+                                                      .With("task", task.task)
+                                                      .With("attempt", task.attempt)
+                                                      .With("token", token)
+                                                      .text());
+    orders.push_back({Command::Op::kStop, task.job, task.task, task.attempt, 0});
+  }
+  if (log_details_) {
+    Log(LogLine::Level::kDebug, Event("renewal")
+                                    .With("machine", report.machine)
+                                    .With("session", report.session)
+                                    .With("token", token)
+                                    .With("tasks", report.tasks.size())
+                                    .With("orders", orders.size())
+                                    .text());
+  }
+  AnswerReport(source, 200, wire::EncodeReportReply(token, orders));
+}
+
+}  // namespace troutlink
--- a/src/core/leadership.cc
+++ b/src/core/leadership.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "core/core.h"
+#include "core/event.h"
 
 namespace troutlink {
 
@@ -158,6 +159,14 @@
 void Core::OnElected(Micros now, int shard_id, uint64_t revision) {
   Shard& shard = ShardAt(shard_id);
   ++counters_.elections;
+  if (revision <= shard.epoch) {
+    NoteViolation(Violation::kEpochFell, Event("election")
+                                             .With("shard", shard_id)
+                                             .With("epoch", shard.epoch)
+                                             .With("revision", revision)
+                                             .text());
+    return;
+  }
   shard.is_leader = true;
   shard.epoch = revision;
   shard.elected_at = now;
@@ -165,8 +174,14 @@
   shard.heard_few_at = 0;
   shard.committing = false;
   shard.progress_at = now + FromSeconds(settings_.op.progress_period_s());
-  Log(LogLine::Level::kInfo, "elected leader of shard " + std::to_string(shard_id) +
-                                 " at revision " + std::to_string(revision));
+  Log(LogLine::Level::kInfo, Event("leadership_gained")
+                                 .With("shard", shard_id)
+                                 .With("epoch", revision)
+                                 .With("token", TokenForEpoch(revision))
+                                 .With("replica_revision", feed_.revision())
+                                 .WithSpan("replica_age_ms", now - feed_.complete_up_to())
+                                 .With("machines", shard.assignments.machines.size())
+                                 .text());
   ForgetDecisions(shard_id);
   InheritMachines(now, shard_id);
   for (const auto& [id, rental] : shard.assignments.rentals) rental_states_.erase(id);
@@ -239,7 +254,13 @@
   shard.committing = false;
   ++counters_.lost_leaderships;
   shard.no_election_before = std::max(shard.no_election_before, now + 200 * kMilli);
-  Log(LogLine::Level::kInfo, "lost leadership of shard " + std::to_string(shard_id) + ": " + why);
+  Log(LogLine::Level::kInfo, Event("leadership_lost")
+                                 .With("shard", shard_id)
+                                 .With("epoch", shard.epoch)
+                                 .With("rival_epoch", shard.rival_epoch)
+                                 .WithSpan("led_ms", now - shard.elected_at)
+                                 .With("why", why)
+                                 .text());
 }
 
 void Core::HandBack(Micros now, int shard_id) {
--- /dev/null
+++ b/src/core/permits.cc
@@ -0,0 +1,82 @@
+#include "core/permits.h"
+
+#include <string>
+
+namespace troutlink {
+
+namespace {
+
+// Errors bear their code alone: logs take the name from it.
+Error<Refusal> Refuse(Refusal refusal) { return {refusal, std::string(NameOf(refusal))}; }
+
+}  // namespace
+
+std::string_view NameOf(Refusal refusal) {
+  switch (refusal) {
+    case Refusal::kNotLeader: return "not_leader";
+    case Refusal::kNotAssigned: return "not_assigned";
+    case Refusal::kJobUnknown: return "job_unknown";
+    case Refusal::kJobBlocked: return "job_blocked";
+    case Refusal::kJobOver: return "job_over";
+    case Refusal::kStoodStill: return "stood_still";
+    case Refusal::kCancellationsStale: return "cancellations_stale";
+    case Refusal::kReplicaStale: return "replica_stale";
+  }
+  return "";
+}
+
+std::string_view NameOf(Violation violation) {
+  switch (violation) {
+    case Violation::kStartWithoutLeadership: return "start_without_leadership";
+    case Violation::kStartUnassigned: return "start_unassigned";
+    case Violation::kStartBlocked: return "start_blocked";
+    case Violation::kRenewalWithoutStop: return "renewal_without_stop";
+    case Violation::kEpochFell: return "epoch_fell";
+  }
+  return "";
+}
+
+std::optional<Violation> ViolationOf(Refusal refusal) {
+  switch (refusal) {
+    case Refusal::kNotLeader: return Violation::kStartWithoutLeadership;
+    case Refusal::kNotAssigned: return Violation::kStartUnassigned;
+    case Refusal::kJobBlocked: return Violation::kStartBlocked;
+    case Refusal::kJobUnknown:
+    case Refusal::kJobOver:
+    case Refusal::kStoodStill:
+    case Refusal::kCancellationsStale:
+    case Refusal::kReplicaStale: break;
+  }
+  return std::nullopt;
+}
+
+Result<StartPermit, Refusal> StartFacts::Judge() const {
+  if (!is_leader) return Refuse(Refusal::kNotLeader);
+  if (!assigned) return Refuse(Refusal::kNotAssigned);
+  switch (fate) {
+    case JobFate::kUnknown: return Refuse(Refusal::kJobUnknown);
+    case JobFate::kBlocked: return Refuse(Refusal::kJobBlocked);
+    case JobFate::kCancelled:
+    case JobFate::kDone: return Refuse(Refusal::kJobOver);
+    case JobFate::kOpen: break;
+  }
+  // The leadership may have passed on meanwhile, and cancellations been told, without a word of
+  // either having been handled.
+  if (stood_still) return Refuse(Refusal::kStoodStill);
+  if (now >= cancellations_bound) return Refuse(Refusal::kCancellationsStale);
+  return StartPermit();
+}
+
+Result<RenewalPermit, Refusal> RenewalFacts::Judge() const {
+  if (now + allowance >= cancellations_bound) return Refuse(Refusal::kCancellationsStale);
+  return RenewalPermit();
+}
+
+Result<OpenAnswerPermit, Refusal> OpenAnswerFacts::Judge() const {
+  if (fate == JobFate::kUnknown) return Refuse(Refusal::kJobUnknown);
+  if (IsOver(fate)) return Refuse(Refusal::kJobOver);
+  if (has_dependencies && replica_age >= most_age) return Refuse(Refusal::kReplicaStale);
+  return OpenAnswerPermit();
+}
+
+}  // namespace troutlink
--- a/src/core/permits.h
+++ b/src/core/permits.h
@@ -10,6 +10,8 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <numeric>
+#include <optional>
 #include <string_view>
 
 #include "base/micros.h"
@@ -100,14 +102,32 @@
   Result<OpenAnswerPermit, Refusal> Judge() const;
 };
 
-// How often each action was refused.
-class RefusalCounts {
+// What must never come up for decision. Where it does, the action is not carried out; the
+// process goes on. kViolations counts them.
+enum class Violation {
+  kStartWithoutLeadership,
+  kStartUnassigned,
+  kStartBlocked,
+  kRenewalWithoutStop,  // an answer that renews a lease lacked the stop of a task that is over
+  kEpochFell,           // an election at a revision that is not above the one before
+};
+inline constexpr size_t kViolations = 5;
+// As in logs and metrics.
+std::string_view NameOf(Violation violation);
+// The violation that a refused start shows, if it does: what is decided in one commit under one
+// leadership is not led, assigned or unblocked any less a moment later.
+std::optional<Violation> ViolationOf(Refusal refusal);
+
+// How often each of the values of an enumeration occurred.
+template <typename Kind, size_t kKinds>
+class Tally {
  public:
-  void Add(Refusal refusal) { ++counts_[static_cast<size_t>(refusal)]; }
-  uint64_t Of(Refusal refusal) const { return counts_[static_cast<size_t>(refusal)]; }
+  void Add(Kind kind) { ++counts_[static_cast<size_t>(kind)]; }
+  uint64_t Of(Kind kind) const { return counts_[static_cast<size_t>(kind)]; }
+  uint64_t Total() const { return std::accumulate(counts_.begin(), counts_.end(), uint64_t{0}); }
 
  private:
-  std::array<uint64_t, kRefusals> counts_{};
+  std::array<uint64_t, kKinds> counts_{};
 };
 
 }  // namespace troutlink
--- a/src/core/pipelines.cc
+++ b/src/core/pipelines.cc
@@ -43,17 +43,14 @@
 }
 
 bool Core::HasCancelledDependency(const JobSpec& spec) const {
-  return std::any_of(
-      spec.dependencies.begin(), spec.dependencies.end(), [this](const std::string& id) {
-        const JobEntry* dependency = FindJob(id);
-        return orphans_.count(id) != 0 ||
-               (dependency != nullptr && dependency->record.state == JobState::kCancelled);
-      });
+  return std::any_of(spec.dependencies.begin(), spec.dependencies.end(),
+                     [this](const std::string& id) { return FateOf(id) == JobFate::kCancelled; });
 }
 
 void Core::AddOrphan(const std::string& id) {
   if (!orphans_.insert(id).second) return;
   ++counters_.orphans;
+  LogCancellation(now_, id, "dependency");
   for (const std::string& dependent : dependencies_.AllDependentsOf(id)) {
     if (orphans_.insert(dependent).second) ++counters_.orphans;
   }
@@ -73,13 +70,12 @@
   // waiting for a start since its submission.
   entry.ready_at = entry.record.submitted;
   for (const std::string& name : entry.record.spec.dependencies) {
-    const JobEntry* dependency = FindJob(name);
     // One that the replica does not hold yet is not done.
-    if (dependency == nullptr || dependency->record.state != JobState::kDone) {
+    if (FateOf(name) != JobFate::kDone) {
       entry.blocked = true;
       return;
     }
-    entry.ready_at = std::max(entry.ready_at, dependency->record.finished);
+    entry.ready_at = std::max(entry.ready_at, jobs_.at(name).record.finished);
   }
   if (!was_blocked) return;
   if (JobRun* run = RunOf(id)) run->last_start = now_;
--- a/src/core/queries.cc
+++ b/src/core/queries.cc
@@ -114,15 +114,10 @@
        });
 }
 
-JobStatus Core::StatusOf(const std::string& id, const JobEntry& entry) const {
+JobStatus Core::StatusOfOpen(const std::string& id, const JobEntry& entry) const {
   JobStatus out;
   out.id = id;
   const JobRecord& record = entry.record;
-  if (record.state != JobState::kOpen) {
-    out.state = PhaseOf(record.state);
-    out.done = record.state == JobState::kDone ? record.spec.tasks : 0;
-    return out;
-  }
   auto run = runs_.find(id);
   if (run != runs_.end()) {
     out.done = run->second.done;
@@ -138,41 +133,54 @@
   return out;
 }
 
-// Of a job that depends on others the check of its own record does not show that one of those
-// was cancelled: the replica must be recent enough to hold what users were told of them.
-bool Core::KnowsFateOf(Micros now, const JobEntry& entry) const {
-  if (entry.record.state != JobState::kOpen || entry.record.spec.dependencies.empty()) return true;
-  return KnowsCancellations(now);
-}
-
 bool Core::KnowsCancellations(Micros now) const {
   return now - feed_.complete_up_to() < settings_.cancel / 2;
 }
 
+// The state service has confirmed the job's own record, or it is final.
 void Core::AnswerQuery(Micros now, const Query& query) {
   const JobEntry* entry = FindJob(query.id);
   if (entry == nullptr) {
     Answer(query.request, 404, wire::EncodeError("no such job"));
     return;
   }
-  if (!KnowsFateOf(now, *entry)) {
-    Answer(query.request, 503, wire::EncodeError("not ready"), kRetryAfter);
+  if (entry->record.state != JobState::kOpen) {
+    AnswerFinished(query, *entry);
     return;
   }
-  if (orphans_.count(query.id) != 0) {
-    // Cancelled with another job: told once it is stored.
-    Abort(now, query);
+  const OpenAnswerFacts facts{FateOf(query.id), !entry->record.spec.dependencies.empty(),
+                              now - feed_.complete_up_to(), settings_.cancel / 2};
+  const Result<OpenAnswerPermit, Refusal> judged = facts.Judge();
+  if (judged && query.kind != Query::Kind::kAbort) {
+    AnswerOpen(*judged, query, *entry);
     return;
   }
-  switch (query.kind) {
-    case Query::Kind::kPoll:
-      Answer(query.request, 200, wire::EncodeJobStatus(StatusOf(query.id, *entry)));
-      return;
-    case Query::Kind::kSubmit:
-      Answer(query.request, 200, wire::EncodeJobState(query.id, StatusOf(query.id, *entry).state));
-      return;
-    case Query::Kind::kAbort: Abort(now, query); return;
+  if (!judged) refusals_.Add(judged.error().code);
+  if (!judged && judged.error().code == Refusal::kReplicaStale) {
+    // Its own record does not show that a job before it was cancelled.
+    Answer(query.request, 503, wire::EncodeError("not ready"), kRetryAfter);
+    return;
   }
+  // Its user cancels it, or it is cancelled with another job: told once it is stored.
+  Abort(now, query);
+}
+
+void Core::AnswerFinished(const Query& query, const JobEntry& entry) {
+  JobStatus status;
+  status.id = query.id;
+  status.state = PhaseOf(entry.record.state);
+  status.done = entry.record.state == JobState::kDone ? entry.record.spec.tasks : 0;
+  Answer(query.request, 200,
+         query.kind == Query::Kind::kPoll ? wire::EncodeJobStatus(status)
+                                          : wire::EncodeJobState(status.id, status.state));
+}
+
+void Core::AnswerOpen(const OpenAnswerPermit& /*permit*/, const Query& query,
+                      const JobEntry& entry) {
+  const JobStatus status = StatusOfOpen(query.id, entry);
+  Answer(query.request, 200,
+         query.kind == Query::Kind::kPoll ? wire::EncodeJobStatus(status)
+                                          : wire::EncodeJobState(status.id, status.state));
 }
 
 void Core::Abort(Micros now, Query query) {
--- a/src/core/replica.cc
+++ b/src/core/replica.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/core.h"
+#include "core/event.h"
 
 namespace troutlink {
 
@@ -52,6 +53,13 @@
   list_items_.clear();
   ReindexShards(now);
   feed_.ListFinished(now);
+  ++counters_.lists;
+  Log(LogLine::Level::kInfo, Event("replica_listed")
+                                 .With("revision", feed_.revision())
+                                 .WithSpan("age_ms", now - feed_.complete_up_to())
+                                 .With("open_jobs", open_jobs_.size())
+                                 .With("jobs", jobs_.size())
+                                 .text());
   cancellations_.ReplicaCompleteUpTo(feed_.complete_up_to());
   StartWatch(now);
 }
@@ -85,6 +93,7 @@
 
 void Core::OnWatchAnswered(Micros now, Micros sent, int status, const std::string& body) {
   if (status == 410) {
+    Log(LogLine::Level::kInfo, Event("watch_too_old").With("revision", feed_.revision()).text());
     feed_.WatchTooOld(now);
     return;
   }
@@ -104,6 +113,7 @@
   }
   ReindexShards(now);
   feed_.WatchAnswered(now, sent, reply->revision);
+  ++counters_.watches;
   cancellations_.ReplicaCompleteUpTo(feed_.complete_up_to());
   // Each change ends a watch, and each node has one: when requests are short, a
   // watch waits a little and its answer takes more changes.
@@ -195,7 +205,11 @@
 
 void Core::ApplyFinishedJob(Micros now, const std::string& id, JobEntry* entry) {
   open_jobs_.erase(id);
-  if (entry->record.state == JobState::kCancelled) cancellations_.AddCommitted(entry->version, id);
+  if (entry->record.state == JobState::kCancelled) {
+    cancellations_.AddCommitted(entry->version, id);
+    ++counters_.cancellations;
+    LogCancellation(now, id, "replica");
+  }
   cancellations_.ForgetReported(id);
   auto run = runs_.find(id);
   if (run != runs_.end()) {
--- a/src/core/reports.cc
+++ b/src/core/reports.cc
@@ -43,8 +43,14 @@
   const bool superseded = shard.rival_epoch > shard.epoch;
   if (shard.epoch != 0 && !superseded) {
     AnswerAsLeader(now, source, shard_id, *report);
-  } else if (MayRenewOnBehalf(now, shard_id, *report)) {
-    RenewOnBehalf(source, *report);
+    return;
+  }
+  // A start of the leader may be under way under the same token, sent without knowing what
+  // we learn soon after: until its leader would have given up on it and fenced it.
+  std::optional<RenewalPermit> permit;
+  if (MayRenewOnBehalf(now, shard_id, *report)) permit = JudgeRenewal(now, kCommandTimeout);
+  if (permit) {
+    RenewOnBehalf(*permit, source, *report);
   } else {
     PassOnReport(now, source, shard_id, *report, body);
   }
@@ -122,9 +128,7 @@
 
 bool Core::MayRenewOnBehalf(Micros now, int shard_id, const Report& report) const {
   const Shard& shard = ShardAt(shard_id);
-  // A start of the leader may be under way under the same token, sent without knowing what
-  // we learn soon after: until its leader would have given up on it and fenced it.
-  if (StateFresh(now) || !cancellations_.MayRenewLeases(now + kCommandTimeout)) return false;
+  if (StateFresh(now)) return false;
   const uint64_t epoch = std::max(shard.leadership_version, shard.rival_epoch);
   if (epoch == 0 || report.token < TokenForEpoch(epoch)) return false;
   const std::string leader = LeaderLabel(shard_id);
@@ -145,9 +149,12 @@
 // The token is the worker's own: an equal one is accepted from any node, and
 // whoever leads the shard later has a higher one. Nothing is started; what
 // was cancelled ends.
-void Core::RenewOnBehalf(const ReportSource& source, const Report& report) {
+// Tasks that the table in our replica lacks go on: the leader may have committed and started them
+// after our replica was last fed.
+void Core::RenewOnBehalf(const RenewalPermit& permit, const ReportSource& source,
+                         const Report& report) {
   ++counters_.renewed_on_behalf;
-  AnswerReport(source, 200, wire::EncodeReportReply(report.token, StopsOfOver(report)));
+  AnswerRenewal(permit, source, report, report.token, StopsOfOver(report));
 }
 
 void Core::AnswerAsLeader(Micros now, const ReportSource& source, int shard_id,
@@ -166,7 +173,8 @@
     AnswerReport(source, 421, wire::EncodeReportTo(""));
     return;
   }
-  if (!cancellations_.MayRenewLeases(now)) {
+  const std::optional<RenewalPermit> permit = JudgeRenewal(now);
+  if (!permit) {
     AnswerReport(source, 503, wire::EncodeError("cut off from the state service"));
     return;
   }
@@ -186,7 +194,8 @@
     orders = StopsOfOver(report);
   }
   NoteAnswer(now, &info, orders);
-  AnswerReport(source, 200, wire::EncodeReportReply(token, orders));
+  ++(shard.is_leader ? counters_.renewed : counters_.renewed_as_former_leader);
+  AnswerRenewal(*permit, source, report, token, std::move(orders));
 }
 
 std::vector<Command> Core::StopsOfOver(const Report& report) const {
--- a/src/core/waiting.cc
+++ b/src/core/waiting.cc
@@ -64,7 +64,7 @@
   for (auto& [id, run] : runs_) {
     if (run.shard_id != shard_id) continue;
     const JobEntry* job = FindJob(id);
-    if (job == nullptr || job->blocked || JobOver(id)) continue;
+    if (job == nullptr || FateOf(id) != JobFate::kOpen) continue;
     const JobSpec& spec = job->record.spec;
     int left = static_cast<int>(run.tasks.size()) - run.done - run.placed;
     if (spec.kind != JobKind::kService) {
--- a/src/core/worker_state.cc
+++ b/src/core/worker_state.cc
@@ -5,12 +5,6 @@
 
 namespace troutlink {
 
-bool Core::JobOver(const std::string& job) const {
-  const JobEntry* entry = FindJob(job);
-  return entry == nullptr || entry->record.state != JobState::kOpen || orphans_.count(job) != 0 ||
-         cancellations_.Reported(job);
-}
-
 bool Core::ProcessReport(Micros now, int shard_id, const AssignedMachine& machine,
                          const Report& report, bool direct) {
   MachineInfo& info = machines_[machine.name];
--- a/src/runtime/node.cc
+++ b/src/runtime/node.cc
@@ -46,6 +46,7 @@
               }) {}
 
   int Run() {
+    core_.SetDetailedLog(spdlog::should_log(spdlog::level::debug));
     if (!server_.Open(settings_.serve)) {
       spdlog::error("cannot listen on {}: {}", settings_.serve.text, std::strerror(errno));
       return 1;
--- /dev/null
+++ b/tests/permits_units_test.cc
@@ -0,0 +1,87 @@
+// Each permit and each reason of a refusal (src/core/permits.h).
+#include <gtest/gtest.h>
+
+#include "core/permits.h"
+
+namespace troutlink {
+namespace {
+
+constexpr Micros kNow = 100 * kSecond;
+
+StartFacts Startable() {
+  StartFacts facts;
+  facts.is_leader = true;
+  facts.assigned = true;
+  facts.fate = JobFate::kOpen;
+  facts.now = kNow;
+  facts.cancellations_bound = kNow + 1;
+  return facts;
+}
+
+// The refusal of a start that differs from an allowed one by `change`.
+template <typename Change>
+Refusal RefusalOf(const Change& change) {
+  StartFacts facts = Startable();
+  change(&facts);
+  const auto judged = facts.Judge();
+  EXPECT_FALSE(judged);
+  return judged.error().code;
+}
+
+TEST(Permits, AStartNeedsEveryFact) {
+  EXPECT_TRUE(Startable().Judge());
+  EXPECT_EQ(RefusalOf([](StartFacts* f) { f->is_leader = false; }), Refusal::kNotLeader);
+  EXPECT_EQ(RefusalOf([](StartFacts* f) { f->assigned = false; }), Refusal::kNotAssigned);
+  EXPECT_EQ(RefusalOf([](StartFacts* f) { f->fate = JobFate::kUnknown; }), Refusal::kJobUnknown);
+  EXPECT_EQ(RefusalOf([](StartFacts* f) { f->fate = JobFate::kBlocked; }), Refusal::kJobBlocked);
+  EXPECT_EQ(RefusalOf([](StartFacts* f) { f->fate = JobFate::kCancelled; }), Refusal::kJobOver);
+  EXPECT_EQ(RefusalOf([](StartFacts* f) { f->fate = JobFate::kDone; }), Refusal::kJobOver);
+  EXPECT_EQ(RefusalOf([](StartFacts* f) { f->stood_still = true; }), Refusal::kStoodStill);
+  EXPECT_EQ(RefusalOf([](StartFacts* f) { f->cancellations_bound = kNow; }),
+            Refusal::kCancellationsStale);
+}
+
+TEST(Permits, OnlyWhatOneCommitDecidedCountsAsAViolation) {
+  EXPECT_EQ(ViolationOf(Refusal::kNotLeader), Violation::kStartWithoutLeadership);
+  EXPECT_EQ(ViolationOf(Refusal::kNotAssigned), Violation::kStartUnassigned);
+  EXPECT_EQ(ViolationOf(Refusal::kJobBlocked), Violation::kStartBlocked);
+  for (const Refusal ordinary : {Refusal::kJobUnknown, Refusal::kJobOver, Refusal::kStoodStill,
+                                 Refusal::kCancellationsStale, Refusal::kReplicaStale}) {
+    EXPECT_EQ(ViolationOf(ordinary), std::nullopt) << NameOf(ordinary);
+  }
+}
+
+TEST(Permits, ALeaseIsRenewedBeforeTheBoundAlone) {
+  EXPECT_TRUE((RenewalFacts{kNow, kNow + 1, 0}.Judge()));
+  EXPECT_FALSE((RenewalFacts{kNow, kNow, 0}.Judge()));
+  // On behalf of another node, what that one has under way takes its time.
+  EXPECT_TRUE((RenewalFacts{kNow, kNow + 2 * kSecond + 1, 2 * kSecond}.Judge()));
+  EXPECT_FALSE((RenewalFacts{kNow, kNow + 2 * kSecond, 2 * kSecond}.Judge()));
+  EXPECT_EQ((RenewalFacts{kNow, 0, 0}.Judge().error().code), Refusal::kCancellationsStale);
+}
+
+TEST(Permits, AnOpenJobIsToldBySomeoneWhoKnowsItsDependencies) {
+  constexpr Micros kMost = 20 * kSecond;
+  EXPECT_TRUE((OpenAnswerFacts{JobFate::kOpen, false, 90 * kSecond, kMost}.Judge()));
+  EXPECT_TRUE((OpenAnswerFacts{JobFate::kBlocked, true, kMost - 1, kMost}.Judge()));
+  EXPECT_EQ((OpenAnswerFacts{JobFate::kBlocked, true, kMost, kMost}.Judge().error().code),
+            Refusal::kReplicaStale);
+  EXPECT_EQ((OpenAnswerFacts{JobFate::kCancelled, true, 0, kMost}.Judge().error().code),
+            Refusal::kJobOver);
+  EXPECT_EQ((OpenAnswerFacts{JobFate::kUnknown, false, 0, kMost}.Judge().error().code),
+            Refusal::kJobUnknown);
+}
+
+TEST(Permits, CountsAreKeptApartByReason) {
+  Tally<Refusal, kRefusals> refusals;
+  refusals.Add(Refusal::kJobOver);
+  refusals.Add(Refusal::kJobOver);
+  refusals.Add(Refusal::kStoodStill);
+  EXPECT_EQ(refusals.Of(Refusal::kJobOver), 2U);
+  EXPECT_EQ(refusals.Of(Refusal::kStoodStill), 1U);
+  EXPECT_EQ(refusals.Of(Refusal::kNotLeader), 0U);
+  EXPECT_EQ(refusals.Total(), 3U);
+}
+
+}  // namespace
+}  // namespace troutlink
--- a/tests/stale_knowledge_test.cc
+++ b/tests/stale_knowledge_test.cc
@@ -90,5 +90,26 @@
   EXPECT_FALSE(IsPassedOn(w, 0, wire::EncodeSubmission(dependent)));
 }
 
+// A node that hears of no change knows a cancellation by a peer's word alone: what is submitted
+// there on the cancelled job is cancelled from the start, and not called queued.
+TEST(StaleKnowledge, ADependentOfACancellationThatAPeerToldIsCancelledFromTheStart) {
+  World w;
+  w.Run(kReady);
+  w.SetRunTime("job-1", 600 * kSecond);
+  Accept(w, 0, World::Array("job-1", 1));
+  w.Run(2 * kSecond);
+  w.cut_from_watch = {0};
+  w.Run(3 * kSecond);
+  EXPECT_EQ(w.AskUntil(1, "POST", "/api/jobs/job-1/abort").body.value("status", ""), "cancelled");
+  w.Run(kSecond);  // a heartbeat
+  JobSpec dependent = World::Array("job-2", 1);
+  dependent.dependencies = {"job-1"};
+  auto answer = w.AskUntil(0, "POST", "/api/jobs", wire::EncodeSubmission(dependent));
+  EXPECT_EQ(answer.status, 201);
+  EXPECT_EQ(answer.body.value("status", ""), "cancelled");
+  EXPECT_EQ(Status(w, 1, "job-2"), "cancelled");
+  EXPECT_KEPT(w);
+}
+
 }  // namespace
 }  // namespace troutlink::test
--- a/tests/world.cc
+++ b/tests/world.cc
@@ -465,6 +465,7 @@
     if (node.core == nullptr || node.frozen || now < node.next_tick) continue;
     node.next_tick = now + kTick;
     Dispatch(i, node.core->Tick(now, now + kWallClock));
+    if (node.core->violations().Total() != 0) rules.Break("an invariant of " + NodeName(i));
   }
 }
 
