--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -289,16 +289,6 @@
   put("cancellations_total", c.cancellations);
   put("told_cancellations_total", c.told_cancellations);
   put("kept_from_forwarding_total", c.kept_from_forwarding);
-  for (size_t i = 0; i < kRefusals; ++i) {
-    const auto refusal = static_cast<Refusal>(i);
-    put(("permits_refused_total{reason=\"" + std::string(NameOf(refusal)) + "\"}").c_str(),
-        refusals_.Of(refusal));
-  }
-  for (size_t i = 0; i < kViolations; ++i) {
-    const auto violation = static_cast<Violation>(i);
-    put(("invariant_violations_total{kind=\"" + std::string(NameOf(violation)) + "\"}").c_str(),
-        violations_.Of(violation));
-  }
   put("orphans_total", c.orphans);
   put("refused_by_limits_total", c.refused_by_limits);
   put("cluster_version", all_nodes_current_ ? kStoredFormVersion : kStoredFormVersion - 1);
@@ -310,6 +300,24 @@
   put("jobs", jobs_.size());
   put("attempts", attempts_.size());
   put("machines", machines_.size());
+  return out + PermitMetrics();
+}
+
+std::string Core::PermitMetrics() const {
+  std::string out;
+  auto put = [&out](std::string_view name, std::string_view label, std::string_view kind,
+                    uint64_t count) {
+    out.append("troutlink_").append(name).append("{").append(label).append("=\"").append(kind);
+    out.append("\"} ").append(std::to_string(count)).append("\n");
+  };
+  for (size_t i = 0; i < kRefusals; ++i) {
+    const auto refusal = static_cast<Refusal>(i);
+    put("permits_refused_total", "reason", NameOf(refusal), refusals_.Of(refusal));
+  }
+  for (size_t i = 0; i < kViolations; ++i) {
+    const auto violation = static_cast<Violation>(i);
+    put("invariant_violations_total", "kind", NameOf(violation), violations_.Of(violation));
+  }
   return out;
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -565,6 +565,7 @@
   bool IsAssigned(int shard_id, const std::string& machine, const Attempt& attempt) const;
   std::optional<StartPermit> JudgeStart(Micros now, int shard_id, const std::string& machine,
                                         const Attempt& attempt);
+  std::string PermitMetrics() const;
   static Command StartCommand(const StartPermit& permit, const Attempt& attempt);
   // `allowance`: see RenewalFacts.
   std::optional<RenewalPermit> JudgeRenewal(Micros now, Micros allowance = 0);
--- a/src/core/permits.h
+++ b/src/core/permits.h
@@ -119,7 +119,7 @@
 std::optional<Violation> ViolationOf(Refusal refusal);
 
 // How often each of the values of an enumeration occurred.
-template <typename Kind, size_t kKinds>
+template <typename Kind, size_t Kinds>
 class Tally {
  public:
   void Add(Kind kind) { ++counts_[static_cast<size_t>(kind)]; }
@@ -127,7 +127,7 @@
   uint64_t Total() const { return std::accumulate(counts_.begin(), counts_.end(), uint64_t{0}); }
 
  private:
-  std::array<uint64_t, kKinds> counts_{};
+  std::array<uint64_t, Kinds> counts_{};
 };
 
 }  // namespace troutlink
--- /dev/null
+++ b/tests/soak/relay.h
@@ -0,0 +1,63 @@
+// A TCP relay between two controllers, which can hold back or reset what passes.
+#ifndef TROUTLINK_TESTS_SOAK_RELAY_H_
+#define TROUTLINK_TESTS_SOAK_RELAY_H_
+
+#include <ev.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "config/settings.h"
+
+namespace troutlink::soak {
+
+// Passes bytes on from whoever connects to it to `to`. Controllers speak in one direction on each
+// connection, so that a relay is one direction of one pair.
+class Relay {
+ public:
+  enum class Mode { kOpen, kHold, kReset };
+
+  Relay(struct ev_loop* loop, Endpoint to) : loop_(loop), to_(std::move(to)) {}
+  ~Relay();
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+
+  // False, with errno set, when it cannot listen.
+  bool Open(const Endpoint& at);
+  void SetMode(Mode mode);
+  // How often it held something back or reset a connection.
+  uint64_t hits() const { return hits_; }
+
+ private:
+  // One connection: what comes in is written to the other side.
+  struct Pipe {
+    Relay* owner = nullptr;
+    int in = -1;
+    int out = -1;
+    bool connecting = true;
+    bool ended = false;  // the incoming side: closed once all is written
+    std::string buffer;
+    ev_io read{};
+    ev_io write{};
+  };
+  static void OnAccept(struct ev_loop* loop, ev_io* watcher, int events);
+  static void OnRead(struct ev_loop* loop, ev_io* watcher, int events);
+  static void OnWrite(struct ev_loop* loop, ev_io* watcher, int events);
+  void Add(int in);
+  void Flush(Pipe* pipe);
+  void Close(Pipe* pipe);
+
+  struct ev_loop* loop_;
+  Endpoint to_;
+  Mode mode_ = Mode::kOpen;
+  int listener_ = -1;
+  ev_io accept_{};
+  uint64_t hits_ = 0;
+  std::map<Pipe*, std::unique_ptr<Pipe>> pipes_;
+};
+
+}  // namespace troutlink::soak
+
+#endif  // TROUTLINK_TESTS_SOAK_RELAY_H_
