--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -11,6 +11,7 @@
 constexpr Micros kMostGap = 4 * kSecond;  // shorter than most faults: two or three overlap
 constexpr Micros kShort = 100 * kMilli;
 constexpr Micros kMedium = 1500 * kMilli;
+constexpr Micros kTakeover = 5 * kSecond;
 constexpr Micros kLong = 14 * kSecond;
 }  // namespace
 
@@ -54,6 +55,11 @@
     fault.node = static_cast<int>(draw(0, nodes - 1));
     const bool brief = draw(0, 2) == 0;
     fault.duration = brief ? draw(kShort, kMedium) : draw(kMedium, kLong);
+    // In each run some leader ends for longer than its lease lasts.
+    if (schedule.empty()) {
+      fault.kind = FaultKind::kKill;
+      fault.duration = draw(kTakeover, kLong);
+    }
     fault.duration = std::min(fault.duration, end - at);
     schedule.push_back(fault);
   }
--- a/tests/soak/user_traffic.cc
+++ b/tests/soak/user_traffic.cc
@@ -22,6 +22,8 @@
   spec.each = {2000, 0, 4000};
   if (Chance(0.15)) {
     spec.kind = JobKind::kService;
+    // Services run on: of a team with a limit they would leave nothing of it in the end.
+    spec.team = "blue";
     spec.priority = Priority::kProduction;
     return spec;
   }
