Review: a lost task waits beside room in other parts

Cause: a job of which a task is done never moves to another part, and only machines without any task do. A task lost with its spot machine waits for its own part.

Nothing else is changed.

--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -36,7 +36,7 @@
 }  // namespace
 
 std::map<std::string, Play> Cases() {
-  return {{"quota", PlayQuota}, {"stuck", PlayStuck}};
+  return {{"quota", PlayQuota}, {"stuck", PlayStuck}, {"stranded", PlayStranded}};
 }
 
 // A controller that ends reads the state service anew, in pages, when it is back. Jobs that another
@@ -268,4 +268,92 @@
   return longest > kMostWaiting ? 1 : 0;
 }
 
+// One of three spot machines is taken. An array on it has one task done and one to do; the other machines
+// of this part are full, those of the others are not.
+int PlayStranded(WorldOptions options, bool trouble) {
+  constexpr Micros kMostWaiting = 90 * kSecond;
+  constexpr double kTaskCpus = 6, kLimit = 400;
+  const std::string team = "amortization";
+  options.teams = Json::array({Team(team, 200, kLimit)});
+  options.workers = 6;
+  options.spot_workers = 3;
+  World world(options);
+  for (size_t node = 0; node < kNodes; ++node) world.StartController(node);
+  for (size_t node = 0; node < kNodes; ++node) {
+    if (!world.WaitUp(node, 20 * kSecond)) return 2;
+  }
+  world.Run(4 * kSecond);
+  // Long work: one task on each machine but the spot machine of the first part.
+  std::vector<std::string> fillers;
+  for (size_t part = 0; part < kNodes; ++part) {
+    const std::string id = IdFor(part, 100 + 100 * static_cast<int>(part));
+    fillers.push_back(id);
+    Json spec = part == 0 ? Array(id, team, 2, 12, 600) : Array(id, team, 3, 9, 600);
+    spec["loaners"] = part != 0;
+    world.AddJob(spec, 600 * kSecond);
+    if (!world.Submit(id, part)) return 2;
+    world.Run(4 * kSecond, [&] { return world.Running(id) == (part == 0 ? 2 : 3); });
+  }
+  const std::string job = IdFor(0, 700);
+  Json spec = Array(job, team, 2, kTaskCpus, 60);
+  spec["loaners"] = true;
+  Job& added = world.AddJob(spec, 3 * kSecond);
+  added.slow_from = 1;
+  added.slow_run = 600 * kSecond;
+  if (!world.Submit(job, 0)) return 2;
+  world.Run(9 * kSecond);
+  const Answer before = world.Get(0, job);
+  world.record.Say(job + ": " + before.status_text() + ", done " + before.body["done"].dump() +
+                   ", on machines " + std::to_string(world.Running(job)));
+  for (const std::string& id : fillers) {
+    if (world.Running(id) != world.jobs.at(id).spec["pieces"]) return 2;
+  }
+  if (world.Running(job) != 1 || before.body["done"] != 1) return 2;
+  // It runs on a spot machine that it has for itself.
+  std::string taken;
+  for (const auto& [name, worker] : world.workers) {
+    bool has = false, others = false;
+    for (const auto& [key, task] : worker->tasks) {
+      const bool its = key.first.rfind(job + "/", 0) == 0;
+      has = has || its;
+      others = others || !its;
+    }
+    if (has && !others && worker->spot) taken = name;
+  }
+  if (taken.empty()) return 2;
+  if (trouble) world.TakeMachine(taken);
+  // For how long the job has waited without a task, while a steady machine has room for one.
+  Micros since = world.now(), longest = 0, said = 0;
+  const Micros end = world.now() + kMostWaiting + 2 * kSecond;
+  world.Run(end - world.now(), [&] {
+    const Micros now = world.now();
+    double room = 0;
+    for (const auto& [name, worker] : world.workers) {
+      if (worker->gone) continue;
+      double free = worker->cpus;
+      for (const auto& [key, task] : worker->tasks) {
+        if (task.status == "ended") continue;
+        free -= world.jobs.at(key.first.substr(0, key.first.rfind('/'))).cpus;
+      }
+      room = std::max(room, free);
+    }
+    if (world.Running(job) > 0 || room < kTaskCpus || world.TeamCpus(team) + kTaskCpus > kLimit) {
+      since = now;
+    }
+    longest = std::max(longest, now - since);
+    if (now - said > 10 * kSecond) {
+      said = now;
+      world.record.Say(job + ": " + std::to_string(world.Running(job)) +
+                       " tasks on machines; most room on a machine: " +
+                       std::to_string(static_cast<int>(room)) + " cpus; the team uses " +
+                       std::to_string(static_cast<int>(world.TeamCpus(team))) + " of 400");
+    }
+    return longest > kMostWaiting;
+  });
+  const Answer after = world.Get(1, job);
+  world.record.Say(job + ": " + after.status_text() + "; longest wait beside room: " +
+                   std::to_string(longest / kSecond) + " s");
+  return longest > kMostWaiting ? 1 : 0;
+}
+
 }  // namespace review
--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -13,6 +13,7 @@
 std::map<std::string, Play> Cases();
 
 int PlayQuota(WorldOptions options, bool trouble);
+int PlayStranded(WorldOptions options, bool trouble);
 int PlayStuck(WorldOptions options, bool trouble);
 
 }  // namespace review
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -68,7 +68,12 @@
     std::ofstream(controller.settings) << Settings(node);
     controllers_.push_back(controller);
   }
-  for (int i = 0; i < options_.workers; ++i) AddWorker(kZones[i / 3 % 3]);
+  for (int i = 0; i < options_.workers; ++i) {
+    AddWorker(kZones[i / 3 % 3], static_cast<size_t>(i) % kNodes, false);
+  }
+  for (int i = 0; i < options_.spot_workers; ++i) {
+    AddWorker(kZones[i % 3], static_cast<size_t>(i) % kNodes, true);
+  }
 }
 
 World::~World() {
@@ -143,6 +148,14 @@
   record.Say("controller worker-" + std::to_string(node) + " is killed");
 }
 
+void World::TakeMachine(const std::string& name) {
+  Worker& worker = *workers.at(name);
+  record.Say("the cloud takes the machine " + name + " with " +
+             std::to_string(worker.tasks.size()) + " tasks");
+  worker.gone = true;
+  worker.tasks.clear();
+}
+
 bool World::Run(Micros time, const std::function<bool()>& until) {
   const Micros end = SteadyNow() + time;
   ev::timer timer(loop_);
@@ -330,18 +343,18 @@
 
 // --- workers -----------------------------------------------------------------------------------
 
-void World::AddWorker(const std::string& room) {
+void World::AddWorker(const std::string& room, size_t part, bool spot) {
   auto made = std::make_unique<Worker>();
   Worker* worker = made.get();
-  // Names whose hashes give each controller as many machines of the start as the others.
+  // Machines of the start go to the controllers by the hashes of their names.
   char name[16];
-  const size_t part = workers.size() % kNodes;
   do {
     std::snprintf(name, sizeof name, "n-%06d", next_worker_++);
   } while (troutlink::StableHash(name) % kNodes != part);
   worker->name = name;
   worker->build = "ikigega";
   worker->room = room;
+  worker->spot = spot;
   worker->lease_from = worker->next_report = SteadyNow();
   worker->node = static_cast<size_t>(next_worker_) % kNodes;
   auto server = std::make_unique<troutlink::runtime::HttpServer>(
@@ -359,7 +372,7 @@
     pieces.push_back(std::move(entry));
   }
   return {{"host", worker->name},   {"address", worker->at.text}, {"build", worker->build},
-          {"room", worker->room},   {"loaners", false},           {"shift", worker->shift},
+          {"room", worker->room},   {"loaners", worker->spot},    {"shift", worker->shift},
           {"tally", ++worker->tally}, {"baton", worker->baton},   {"warning_s", nullptr},
           {"pieces", pieces}};
 }
@@ -575,7 +588,7 @@
                      {"address", worker->at.text},
                      {"build", worker->build},
                      {"room", worker->room},
-                     {"loaners", false},
+                     {"loaners", worker->spot},
                      {"status", "running"},
                      {"age_s", 600.0}});
   }
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -138,6 +138,7 @@
   std::string name, build, room;
   Endpoint at;
   double cpus = 16, memory = 128;
+  bool spot = false;
   bool gone = false;
   uint64_t shift = 1, tally = 0, baton = 0;
   Micros lease_from = 0, next_report = 0, last_report = 0, raised_at = 0;
@@ -155,6 +156,7 @@
   // As announced by the settings: the limits of the state service from some moment on.
   Json next_limits;
   int workers = 9;
+  int spot_workers = 0;
   double report_s = 3, lease_s = 26, cancel_s = 51;
 };
 
@@ -171,6 +173,8 @@
 
   void StartController(size_t node);
   void KillController(size_t node);
+  // The cloud takes the machine back, without a notice.
+  void TakeMachine(const std::string& name);
   // Runs everything until the time has passed, or `until` holds. Returns whether it holds.
   bool Run(Micros time, const std::function<bool()>& until = nullptr);
 
@@ -208,7 +212,7 @@
   };
   void Tick();
   std::string Settings(size_t node) const;
-  void AddWorker(const std::string& room);
+  void AddWorker(const std::string& room, size_t part, bool spot);
   // The worker's task `piece` that has not ended, if any.
   static const Worker::Task* Active(const Worker& worker, const std::string& piece);
   void TickWorker(Micros now, Worker* worker);
