Review case 5: a lowered team limit is not kept to

Cause: a team's share of a shard is stored as an amount once it was transferred, and taken as it is after a restart with a lower limit in the settings.

Nothing outside review/.

--- a/review/standin-2/world.cc
+++ b/review/standin-2/world.cc
@@ -847,6 +847,11 @@
   std::ofstream(SettingsPath(node)) << settings_[node].dump(2);
 }
 
+void World::SetTeamLimit(size_t node, double cpus_max) {
+  for (Json& team : settings_[node]["facts"]["teams"]) team["cpus_max"] = cpus_max;
+  WriteSettings(node);
+}
+
 void World::Announce(size_t node, const Json& next_limits) {
   settings_[node]["facts"]["state"]["next"] = next_limits;
   WriteSettings(node);
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -314,6 +314,8 @@
   // The number that the next machine gets in its name. Machines are named in order, with gaps.
   uint32_t next_machine = 1;
   bool StartController(size_t node);
+  // The same for the limit of all teams.
+  void SetTeamLimit(size_t node, double cpus_max);
   // Writes the announced limits into the settings that the controller reads at its next start.
   void Announce(size_t node, const Json& next_limits);
   // Calls `step` about every 10 ms until it returns false or `most` has passed.
