--- a/review/standin-2/world.cc
+++ b/review/standin-2/world.cc
@@ -55,15 +55,20 @@
 
 }  // namespace
 
+// Each run has a loopback address of its own, so that runs side by side do not take each other's
+// ports.
 Endpoint LocalPort(int port) {
-  return {"127.0.0.1", port, "127.0.0.1:" + std::to_string(port)};
+  const int pid = getpid();
+  const std::string host = "127." + std::to_string(1 + pid % 250) + "." +
+                           std::to_string(pid / 250 % 250) + ".1";
+  return {host, port, host + ":" + std::to_string(port)};
 }
 
 int FreePort() {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  inet_pton(AF_INET, LocalPort(0).host.c_str(), &address.sin_addr);
   socklen_t size = sizeof address;
   int port = 0;
   if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
