Scheduler: room kept for services is held for a bounded time

Cause: ChooseMachine() kept the headroom of services from every array that writes checkpoints, and from the others where it is small beside the shard's machines, without a bound in time. job_waiting names reason=service_headroom from the first line to the last. The headroom of a zone and of an image, and machines kept in other shards for their services, had no bound either.

Change: scheduler/hold_policy.h decides for how long capacity is held back from a job for other work: 45 s of its wait for room (half of the 90 s of the rule; the rest is for a cycle, a commit, an image fetch and a start), 20 s for quota as before. Held room is tried last, and lent to one task at a time (a gang as a whole). The wait begins anew with a committed start rather than with a planned one, and when a task becomes pending while none was. Services take lent room back at once: such a task is preempted first, and without time to save.

--- a/src/core/api/shard_selector.cc
+++ b/src/core/api/shard_selector.cc
@@ -63,6 +63,8 @@
   candidate.type = machine.type;
   candidate.zone = machine.zone;
   candidate.spot = machine.spot;
+  if (Allowed(spec, JobSpread(), candidate))
+    capacity->unused_task_slots += TasksThatFit(spec, type->size - load.used);
   if (spec.kind == JobKind::kService && capacity->ready_tasks < spec.tasks &&
       HasImage(load, spec.image)) {
     AddReadyTasks(spec, type->size - load.used, remaining, candidate, capacity, &spreads->ready);
--- a/src/core/api/shard_selector.h
+++ b/src/core/api/shard_selector.h
@@ -19,6 +19,7 @@
   double backlog_cpus = 0;    // pending work that is served before
   double available_cpus = 0;  // free minus backlog; may be negative
   int placeable_tasks = 0;    // that could start now
+  int unused_task_slots = 0;  // free now, without preemption and whoever else waits for them
   int suitable_machines = 0;  // machines that fit a task when empty
   int ready_tasks = 0;        // that could start with a cached image and without preemption
   int ready_soon_tasks = 0;   // the same with preemption
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -282,6 +282,7 @@
     uint64_t start_token = 0;      // of the direct command that started it
     bool start_in_flight = false;  // a direct start command awaits its answer
     bool moved_for_tail = false;   // being moved to a tail machine
+    bool uses_headroom = false;    // started by this process on room that is kept for services
     bool stopping = false;
     Micros stop_decided_at = 0;
     Micros stop_grace = 0;
@@ -319,6 +320,8 @@
     bool listed_running = false;
     Micros idle_since = 0;
     Micros unschedulable_until = 0;  // after a start refused for lack of room
+    Micros reserved_since = 0;       // for jobs that have waited too long, with short breaks
+    Micros last_reserved_at = 0;     // last cycle in which it was reserved
     uint64_t assigned_epoch = 0;     // epoch under which it was assigned to this shard
     int last_shard = -1;             // that it was assigned to
     bool consolidating = false;      // being drained by consolidation
@@ -460,7 +463,6 @@
     int first_waiting_task = 0;  // no task before it is waiting
     std::vector<Micros> durations;
     std::set<int> moved_tasks;       // moved to tail machines, at most once each
-    Micros last_start = 0;           // of a task, or when the job came to this leader
     Micros unplaced_since = 0;       // start of the wait without a machine; 0: none
     Micros next_move_at = 0;         // next attempt to move to another shard
     std::map<int, int> preemptions;  // by task
@@ -515,7 +517,8 @@
   std::set<int> ChunksWithMostFreeCapacity(const Shard& shard, size_t max_chunks) const;
   int TasksWithinLimit(const Plan& plan, const Team& team, int shard_id, const JobSpec& spec,
                        const QuotaShare& reserved) const;
-  static void ReserveMachine(Plan* plan, const JobSpec& spec);
+  void ReserveMachine(Micros now, Plan* plan, const JobSpec& spec);
+  Micros ReservedFor(Micros now, const std::string& machine) const;
   static void RemoveStarts(Plan* plan, const JobSpec& spec, size_t first_start);
   static std::string PlacementKeyOf(const JobSpec& spec);
   void FindTransferableMachines(Micros now, int shard_id, Plan* plan);
@@ -549,10 +552,12 @@
   std::vector<size_t> SelectVictims(Micros now, const JobSpec& spec,
                                     const Preemptible& preemptible);
   bool MayPreemptForArray(Micros now, const PreemptibleTask& task);
-  void PreemptTask(Micros now, Plan* plan, Preemptible* preemptible, size_t index);
+  void PreemptTask(Micros now, Plan* plan, const JobSpec& spec, Preemptible* preemptible,
+                   size_t index);
   std::optional<Priority> LowestPlacedPriority(int shard_id) const;
   void PlanPreemption(Micros now, int shard_id, Plan* plan, const JobSpec& spec, int tasks);
-  bool PlanMachineTransfer(Micros now, int shard_id, Plan* plan, const JobSpec& spec);
+  WaitReason PlanMachineTransfer(Micros now, int shard_id, Plan* plan, const JobSpec& spec,
+                                 Micros waited);
   bool PlanQuotaTransfer(Micros now, int shard_id, Plan* plan, const Team& team,
                          const QuotaShare& want);
   void Commit(Micros now, int shard_id, Plan* plan);
@@ -613,6 +618,9 @@
   std::vector<CandidateMachine*> ConsolidationCandidates(Plan* plan) const;
   bool DrainMachine(Micros now, int shard_id, Plan* plan, const CandidateMachine& machine,
                     ConsolidationTargets* targets);
+  static bool MoveIsHeld(Micros now, const JobExecution& execution);
+  static bool HasRoomToMove(Micros now, const JobSpec& spec, const ShardCapacity& capacity,
+                            JobExecution* execution);
   void PlanJobMoves(Micros now, int shard_id, Plan* plan);
   uint64_t NextNumber(int shard_id, Plan* plan) const;
   void PlanAdoption(Micros now, int shard_id, Plan* plan);
--- a/src/core/replica_events.cc
+++ b/src/core/replica_events.cc
@@ -36,8 +36,7 @@
   }
 }
 
-void Core::OnJobUnblocked(const std::string& id, const JobEntry& entry) {
-  if (JobExecution* execution = FindExecution(id)) execution->last_start = node_health_.last_tick();
+void Core::OnJobUnblocked(const std::string& /*id*/, const JobEntry& entry) {
   if (LeadsShard(entry.record.shard_id)) MarkDirty(entry.record.shard_id);
 }
 
--- a/src/core/scheduler/commit.cc
+++ b/src/core/scheduler/commit.cc
@@ -342,6 +342,7 @@
     if (it == attempts_.end() || it->second.terminated) continue;
     it->second.owns_start = true;
     it->second.placed_at = now;
+    it->second.uses_headroom = plan.lent_attempts.count(attempt) != 0;
     if (JobExecution* execution = FindExecution(attempt.job)) execution->pending_since = now;
     health_.NoteStart(machine, attempt.job);
     machines_to_command.insert(machine);
--- a/src/core/scheduler/pending_jobs.cc
+++ b/src/core/scheduler/pending_jobs.cc
@@ -107,7 +107,7 @@
         static_cast<double>(left * spec.task_resources.cpus) / 1000 * ToSeconds(spec.estimate);
     pending.push_back({&spec, &execution, left, effective_priority, within_guarantee, aged,
                        std::move(latest_starts), limit_index, work, job->ready_at,
-                       job->record.moves});
+                       job->record.moves, now - execution.pending_since});
   }
   UpdateArrayPeak(now, &shards_[static_cast<size_t>(shard_id)], array_cpus);
   return pending;
--- a/src/core/scheduler/placement.cc
+++ b/src/core/scheduler/placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/scheduler/hold_policy.h"
+
 namespace troutlink {
 
 namespace {
@@ -157,25 +159,40 @@
   // What keeps the task off a suitable machine, without the headroom of images.
   WaitReason ObstacleOn(const CandidateMachine& machine) const {
     if (machine.chunk_closed && !request_.include_closed) return WaitReason::kClosedChunk;
+    const HoldTimes times{request_.waited, machine.held};
     if (spec_.priority < machine.min_priority) {
-      return machine.min_priority == Priority::kProduction ? WaitReason::kProductionPreemption
-                                                           : WaitReason::kPreemption;
+      if (machine.min_priority == Priority::kProduction) return WaitReason::kProductionPreemption;
+      if (Holds(WaitReason::kPreemption)) return WaitReason::kPreemption;
+    }
+    if (!machine.tail_job.empty() && machine.tail_job != spec_.id &&
+        MayHold(WaitReason::kTailMachine, times)) {
+      return WaitReason::kTailMachine;
     }
-    if (!machine.tail_job.empty() && machine.tail_job != spec_.id) return WaitReason::kTailMachine;
-    if (machine.reserved) return WaitReason::kReservedMachine;
+    if (machine.reserved && MayHold(WaitReason::kReservedMachine, times))
+      return WaitReason::kReservedMachine;
+    return HeadroomObstacleOn(machine);
+  }
+
+  WaitReason HeadroomObstacleOn(const CandidateMachine& machine) const {
     if (!keeps_headroom_ || machine.spot) return WaitReason::kNone;
-    if (index_.steady_free() - spec_.task_resources.cpus < request_.steady_headroom)
+    if (index_.steady_free() - spec_.task_resources.cpus < request_.steady_headroom &&
+        Holds(WaitReason::kServiceHeadroom)) {
       return WaitReason::kServiceHeadroom;
+    }
     if (request_.zone_headroom > 0 &&
-        index_.ZoneFree(machine.zone) - spec_.task_resources.cpus < request_.zone_headroom) {
+        index_.ZoneFree(machine.zone) - spec_.task_resources.cpus < request_.zone_headroom &&
+        Holds(WaitReason::kZoneHeadroom)) {
       return WaitReason::kZoneHeadroom;
     }
     return WaitReason::kNone;
   }
 
+  bool Holds(WaitReason reason) const { return MayHold(reason, request_.waited); }
+
   // Services start fast where their image is cached: whether CPUs stay free there.
   bool KeepsImageHeadroom(const CandidateMachine& machine) const {
     if (!keeps_headroom_ || machine.spot || request_.image_headroom <= 0) return true;
+    if (!Holds(WaitReason::kImageHeadroom)) return true;
     return std::all_of(
         machine.service_images.begin(), machine.service_images.end(), [this](int image) {
           return index_.capacity_with_image(image).free - spec_.task_resources.cpus >=
--- a/src/core/scheduler/placement.h
+++ b/src/core/scheduler/placement.h
@@ -22,6 +22,7 @@
   bool spot = false;
   bool usable = false;        // heard from recently, not draining, not quarantined
   bool reserved = false;      // for a job that has waited too long; not usable in this cycle
+  Micros held = 0;            // how long it has been held back as a tail or reserved machine
   bool chunk_closed = false;  // its chunk of the assignment table cannot change in this cycle
   // Work of lower priority is kept off: capacity is being freed for work of this priority.
   Priority min_priority = Priority::kLow;
@@ -115,6 +116,7 @@
   int64_t image_headroom = 0;   // the same for the machines that have a service's image
   // Tasks without checkpoints may borrow the headroom: they are preempted within moments.
   bool borrowable = true;
+  Micros waited = 0;                             // of the job: ends the holds of hold_policy.h
   const std::string* avoided_machine = nullptr;  // machine to avoid
   bool include_closed = false;  // consider machines that only a later cycle can change
 };
--- a/src/core/scheduler/placer.cc
+++ b/src/core/scheduler/placer.cc
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "core/core.h"
+#include "core/scheduler/hold_policy.h"
 #include "core/scheduler/plan.h"
 #include "core/scheduler/quota.h"
 
@@ -16,7 +17,6 @@
 constexpr Micros kGuaranteePreemptionDelay = 300 * kMillisecond;
 constexpr int kMaxPreemptingJobs = 32;          // jobs for which one cycle preempts others
 constexpr int64_t kMaxCapacityPerLentCpu = 10;  // of the headroom, in steady CPUs
-constexpr Micros kReservedQuotaDelay = 20 * kSecond;
 constexpr int kMaxServiceMoves = 2;  // between shards, before the service may start partially
 constexpr size_t kMachinesPerReservation = 20;
 }  // namespace
@@ -109,7 +109,7 @@
     const PendingJob& waiting;
     const JobSpec& spec;
     const Team& team;
-    QuotaShare reserved_quota;  // quota of the team that is kept for its services
+    Micros waited = 0;  // ends holds for the next task
     PlacementRequest request;
     std::string placement_key;            // empty: no result of an equal job is reused
     bool gang = false;                    // all tasks share one attempt number
@@ -119,6 +119,7 @@
     uint64_t gang_number = 0;
     int remaining = 0;             // tasks still to place
     int machine = -1;              // last chosen, -1: none
+    bool lent = false;             // the machine was found on room that was held back
     bool requested_quota = false;  // quota transfer from other shards was requested
     bool no_machine = false;
     WaitReason reason = WaitReason::kNone;  // why tasks remain
@@ -126,16 +127,21 @@
 
   Job Begin(const PendingJob& waiting);
   bool MustStartAllTasks(const PendingJob& waiting) const;
-  bool MayUseReservedQuota(const PendingJob& waiting) const;
   void PlaceTasks(Job* job);
   // Whether the team's quota allows one more task, after a transfer from other shards if needed.
   bool WithinQuota(Job* job);
   bool FitsQuota(const Job& job);
+  // Quota of the job's team that is still held back from it for services.
+  QuotaShare ReservedQuota(const Job& job) const;
   bool FitsQuotaWithout(const Job& job, const QuotaShare& reserved);
   // Selects the machine for the next task; -1 if there is none.
   void FindMachine(Job* job);
+  enum class Search { kFound, kLaterCycle, kNothing };
+  // Searches with the holds that apply to a job that has waited for `waited`.
+  Search SearchMachine(Job* job, Micros waited);
   bool FitsClosedMachine(Job* job) const;
-  void TransferMachine(Job* job);
+  bool TransferMachine(Job* job, Micros waited);
+  static std::string KeyWithHolds(const Job& job);
   void Start(Job* job, size_t task);
   void Undo(Job* job);
   void OnNoMachine(Job* job);
@@ -170,22 +176,10 @@
          (execution.unplaced_since == 0 || now_ - execution.unplaced_since < kPartialStartDelay);
 }
 
-// A task of an array that has waited long may use the quota that is reserved for services.
-// Otherwise the reservations of several shards can block it while its team is below the limit.
-bool Core::Placer::MayUseReservedQuota(const PendingJob& waiting) const {
-  const JobExecution& execution = *waiting.execution;
-  if (waiting.spec->kind != JobKind::kArray) return false;
-  const bool has_started = execution.done + execution.placed > 0;
-  const Micros waited =
-      has_started ? now_ - execution.last_start : core_.WallNow(now_) - waiting.ready_at;
-  return waited >= kReservedQuotaDelay;
-}
-
 Core::Placer::Job Core::Placer::Begin(const PendingJob& waiting) {
   const JobSpec& spec = *waiting.spec;
   Job job(waiting, *core_.settings_.FindTeam(spec.team));
-  if (!MayUseReservedQuota(waiting))
-    job.reserved_quota = core_.QuotaReservedForServices(spec, job.team);
+  job.waited = waiting.waited;
   job.gang = spec.kind == JobKind::kGang;
   job.all_or_nothing = MustStartAllTasks(waiting);
   job.request.spec = &spec;
@@ -202,7 +196,7 @@
     job.placement_key = PlacementKeyOf(spec);
   }
   // An equal array found no machine in this cycle.
-  auto unplaceable = unplaceable_keys_.find(job.placement_key);
+  auto unplaceable = unplaceable_keys_.find(KeyWithHolds(job));
   if (!job.placement_key.empty() && unplaceable != unplaceable_keys_.end()) {
     job.no_machine = true;
     job.reason = unplaceable->second;
@@ -246,7 +240,15 @@
   }
 }
 
-bool Core::Placer::FitsQuota(const Job& job) { return FitsQuotaWithout(job, job.reserved_quota); }
+// Without a bound, the reservations of several shards could block a job whose team is under its
+// limit.
+QuotaShare Core::Placer::ReservedQuota(const Job& job) const {
+  if (job.spec.kind == JobKind::kArray && !MayHold(WaitReason::kServiceQuota, job.waited))
+    return QuotaShare();
+  return core_.QuotaReservedForServices(job.spec, job.team);
+}
+
+bool Core::Placer::FitsQuota(const Job& job) { return FitsQuotaWithout(job, ReservedQuota(job)); }
 
 // Whether one more task fits the team's quota in this shard, less `reserved`.
 bool Core::Placer::FitsQuotaWithout(const Job& job, const QuotaShare& reserved) {
@@ -260,7 +262,7 @@
   if (FitsQuota(*job)) return true;
   if (job->requested_quota) return false;
   job->requested_quota = true;
-  const QuotaShare want{job->spec.task_resources.cpus * job->remaining + job->reserved_quota.cpus,
+  const QuotaShare want{job->spec.task_resources.cpus * job->remaining + ReservedQuota(*job).cpus,
                         job->spec.task_resources.gpus * job->remaining};
   if (core_.PlanQuotaTransfer(now_, shard_id_, &plan_, job->team, want) && FitsQuota(*job)) {
     return true;
@@ -280,20 +282,35 @@
     const CandidateMachine& last = plan_.machines[static_cast<size_t>(job->machine)];
     if (last.spot && job->spec.task_resources.Fits(last.free)) return;
   }
+  const Search search = SearchMachine(job, 0);
+  if (search != Search::kNothing) return;
+  // What is held back for other work comes last: other room, also of other shards, is used first.
+  if (RoomHoldsMayHaveEnded(job->waited) && SearchMachine(job, job->waited) != Search::kNothing) {
+    return;
+  }
+  job->no_machine = true;
+  if (!job->placement_key.empty()) unplaceable_keys_[KeyWithHolds(*job)] = job->reason;
+}
+
+Core::Placer::Search Core::Placer::SearchMachine(Job* job, Micros waited) {
+  job->request.waited = waited;
   const MachineChoice choice = ChooseMachine(job->request, plan_.machines, plan_.index);
   job->machine = choice.machine;
-  if (job->machine >= 0) return;
+  job->lent = waited > 0;
+  if (job->machine >= 0) return Search::kFound;
   job->reason = choice.reason;
   // A machine of another chunk can take it in a later cycle: no transfer or rental is needed.
   if (plan_.partial && FitsClosedMachine(job)) {
     job->reason = WaitReason::kClosedChunk;
     shard_.cycle.dirty = true;
-    return;
+    return Search::kLaterCycle;
   }
-  TransferMachine(job);
-  if (job->machine >= 0) return;
-  job->no_machine = true;
-  if (!job->placement_key.empty()) unplaceable_keys_[job->placement_key] = job->reason;
+  return TransferMachine(job, waited) ? Search::kFound : Search::kNothing;
+}
+
+// Jobs with equal keys get the same result, as the same holds apply to them.
+std::string Core::Placer::KeyWithHolds(const Job& job) {
+  return job.placement_key + (RoomHoldsMayHaveEnded(job.waited) ? "/unheld" : "");
 }
 
 bool Core::Placer::FitsClosedMachine(Job* job) const {
@@ -303,13 +320,15 @@
   return fits;
 }
 
-void Core::Placer::TransferMachine(Job* job) {
+bool Core::Placer::TransferMachine(Job* job, Micros waited) {
   // Roll back the transfer too if not all tasks can start.
   if (job->all_or_nothing && job->rollback_plan == nullptr)
     job->rollback_plan = std::make_unique<Plan>(plan_);
-  if (core_.PlanMachineTransfer(now_, shard_id_, &plan_, job->spec)) {
+  const WaitReason obstacle = core_.PlanMachineTransfer(now_, shard_id_, &plan_, job->spec, waited);
+  job->reason = std::max(job->reason, obstacle);
+  if (obstacle == WaitReason::kNone)
     job->machine = ChooseMachine(job->request, plan_.machines, plan_.index).machine;
-  }
+  return job->machine >= 0;
 }
 
 void Core::Placer::Start(Job* job, size_t task) {
@@ -331,8 +350,9 @@
     plan_.assignments.tail_grants[spec.id].credit -=
         static_cast<double>(spec.task_resources.cpus) / 1000.0 * ToSeconds(spec.estimate) / 3600.0;
   }
-  job->waiting.execution->last_start = now_;
-  job->reserved_quota = core_.QuotaReservedForServices(spec, job->team);
+  if (job->lent && !machine.spot) plan_.lent_attempts.insert(attempt);
+  // One task at a time uses what is held back from the job, unless all start together.
+  if (!job->all_or_nothing) job->waited = 0;
   ++started_;
   --job->remaining;
   if (!job->all_or_nothing) job->waiting.execution->unplaced_since = 0;
@@ -358,7 +378,7 @@
   if (job->waiting.aged && plan_.started_attempts.size() == job->first_start &&
       reserved_ < max_reserved_) {
     ++reserved_;
-    ReserveMachine(&plan_, spec);
+    core_.ReserveMachine(now_, &plan_, spec);
   }
   if (spec.priority == Priority::kProduction && now_ - shard_.cycle.unplaced_logged_at > kSecond) {
     shard_.cycle.unplaced_logged_at = now_;
@@ -384,7 +404,7 @@
   if (now_ - job.waiting.execution->unplaced_since < delay) return;
   if (++array_preemptions_ > kMaxPreemptingJobs) return;
   const int within_limit =
-      core_.TasksWithinLimit(plan_, job.team, shard_id_, spec, job.reserved_quota);
+      core_.TasksWithinLimit(plan_, job.team, shard_id_, spec, ReservedQuota(job));
   if (within_limit <= 0) return;
   core_.PlanPreemption(now_, shard_id_, &plan_, spec, std::min(job.remaining, within_limit));
 }
@@ -421,22 +441,41 @@
   return static_cast<int>(std::max<int64_t>(0, tasks));
 }
 
+// How long the machine has been reserved for aged jobs.
+Micros Core::ReservedFor(Micros now, const std::string& machine) const {
+  auto agent = machines_.find(machine);
+  if (agent == machines_.end() || agent->second.last_reserved_at == 0) return 0;
+  if (now - agent->second.last_reserved_at > kMaxHold) return 0;
+  return now - agent->second.reserved_since;
+}
+
 // Reserves the machine with the most free CPUs for an aged job: no other task is placed there in
-// this cycle, so that smaller tasks do not keep filling the room it needs.
-void Core::ReserveMachine(Plan* plan, const JobSpec& spec) {
+// this cycle, so that smaller tasks do not keep filling the room it needs. Machines whose
+// reservation still holds against jobs that have waited come first.
+void Core::ReserveMachine(Micros now, Plan* plan, const JobSpec& spec) {
   CandidateMachine* best = nullptr;
+  bool best_holds = false;
   const JobSpread& spread = plan->SpreadOf(spec);
   for (CandidateMachine& machine : plan->machines) {
     if (!machine.usable || !machine.tail_job.empty() || !spec.task_resources.Fits(machine.size) ||
         !Allowed(spec, spread, machine)) {
       continue;
     }
-    if (best == nullptr || machine.free.cpus > best->free.cpus) best = &machine;
+    const bool holds = MayHold(WaitReason::kReservedMachine, ReservedFor(now, machine.name));
+    if (best != nullptr &&
+        (holds != best_holds ? best_holds : machine.free.cpus <= best->free.cpus))
+      continue;
+    best = &machine;
+    best_holds = holds;
   }
   if (best == nullptr) return;
   plan->index.Remove(*best);
   best->usable = false;
   best->reserved = true;
+  best->held = ReservedFor(now, best->name);
+  AgentState& agent = machines_[best->name];
+  agent.reserved_since = now - best->held;
+  agent.last_reserved_at = now;
 }
 
 // Removes the starts of a job after the first `begun` ones from the plan.
--- a/src/core/scheduler/plan.h
+++ b/src/core/scheduler/plan.h
@@ -25,6 +25,7 @@
   double work;                        // pending work in CPU seconds
   Micros ready_at;                    // time of day
   int moves;
+  Micros waited;  // since the job became ready or last had a start
   bool missed_all() const { return limit_index >= latest_starts.size(); }
   Micros sort_time() const { return missed_all() ? ready_at : latest_starts[limit_index]; }
 };
@@ -42,6 +43,11 @@
   std::vector<PreemptibleTask> tasks;
 };
 
+// Time that a stopped task has to write a checkpoint; 0 for tasks without checkpoints.
+inline Micros StopGraceOf(const JobSpec& spec) {
+  return spec.checkpoint > 0 ? spec.save + kSecond : 0;
+}
+
 struct Core::Plan {
   struct UnplacedTasks {
     const JobSpec* spec = nullptr;
@@ -68,6 +74,7 @@
   std::vector<std::pair<int, std::string>> transferable;
   std::map<std::string, JobSpread> spreads;
   std::vector<std::pair<std::string, Attempt>> started_attempts;  // as (machine, attempt)
+  std::set<Attempt> lent_attempts;       // started ones that use headroom of services
   std::set<std::string> condition_jobs;  // whose records are conditions of the commit
   std::vector<std::string> done_jobs;    // jobs whose tasks are all done
   std::vector<std::string> rentals;
--- a/src/core/scheduler/preemption.cc
+++ b/src/core/scheduler/preemption.cc
@@ -43,8 +43,7 @@
   if (best == nullptr) return;
   const JobEntry* job = jobs_.Find(best->job);
   ++counters_.preempted;
-  StopAttempt(now, *best, best_state,
-              job->record.spec.checkpoint > 0 ? job->record.spec.save + kSecond : 0);
+  StopAttempt(now, *best, best_state, StopGraceOf(job->record.spec));
   SendDirectCommands(now, shard_id, best_state->machine);
 }
 
@@ -123,6 +122,11 @@
     std::stable_sort(candidates.begin(), candidates.end(),
                      [&](size_t a, size_t b) { return cost(a) < cost(b); });
   }
+  if (!for_array) {
+    std::stable_partition(candidates.begin(), candidates.end(), [&preemptible](size_t i) {
+      return preemptible.tasks[i].state->uses_headroom;
+    });
+  }
   Resources available = preemptible.available;
   std::vector<size_t> victims;
   for (size_t i : candidates) {
@@ -169,6 +173,7 @@
     for (size_t i : choice.victims) {
       const PreemptibleTask& task = preemptible.tasks[i];
       available += task.spec->task_resources;
+      if (critical && task.state->uses_headroom) continue;  // stops at once
       choice.cost += critical && task.state->running_at != 0
                          ? now - task.state->running_at
                          : PreemptionCost(now, task.state->running_at, *task.spec);
@@ -182,22 +187,24 @@
   });
   for (const Choice& choice : choices) {
     if (tasks <= 0 || plan->preempted_tasks >= kMaxPreemptedTasks) return;
-    for (size_t i : choice.victims) PreemptTask(now, plan, choice.preemptible, i);
+    for (size_t i : choice.victims) PreemptTask(now, plan, spec, choice.preemptible, i);
     reserve(choice.preemptible, choice.machine);
     SendDirectCommands(now, shard_id, choice.machine->name);
   }
 }
 
-// Stops one task.
-void Core::PreemptTask(Micros now, Plan* plan, Preemptible* preemptible, size_t index) {
+// Stops one task for a task of `spec`. Production work gets headroom that was lent back at once:
+// the task repeats its work since its last checkpoint.
+void Core::PreemptTask(Micros now, Plan* plan, const JobSpec& spec, Preemptible* preemptible,
+                       size_t index) {
   const PreemptibleTask& task = preemptible->tasks[index];
   preemptible->available += task.spec->task_resources;
   ++counters_.preempted;
   ++plan->preempted_tasks;
   if (JobExecution* execution = FindExecution(task.spec->id))
     ++execution->preemptions[task.attempt.task];
-  StopAttempt(now, task.attempt, task.state,
-              task.spec->checkpoint > 0 ? task.spec->save + kSecond : 0);
+  const bool at_once = spec.priority == Priority::kProduction && task.state->uses_headroom;
+  StopAttempt(now, task.attempt, task.state, at_once ? 0 : StopGraceOf(*task.spec));
 }
 
 }  // namespace troutlink
--- a/src/core/scheduler/scheduling_cycle.cc
+++ b/src/core/scheduler/scheduling_cycle.cc
@@ -29,7 +29,6 @@
   if (executions_.count(id) != 0) return;
   JobExecution& execution = executions_[id];
   execution.shard_id = shard_id;
-  execution.last_start = node_health_.last_tick();
   Shard& shard = shards_[static_cast<size_t>(shard_id)];
   if (entry.record.spec.priority == Priority::kProduction && shard.cycle.conflicts == 0) {
     shard.cycle.not_before =
@@ -155,6 +154,8 @@
   if (agent == machines_.end()) return out;
   out.usable = type != nullptr && IsSchedulable(now, machine, agent->second);
   out.cached = &agent->second.images;
+  if (!out.tail_job.empty() && agent->second.first_heartbeat_at != 0)
+    out.held = now - agent->second.first_heartbeat_at;
   return out;
 }
 
--- a/src/core/scheduler/tail_acceleration.cc
+++ b/src/core/scheduler/tail_acceleration.cc
@@ -116,7 +116,7 @@
     ++counters_.overdue_tasks;
     plan->assignments.tail_grants[spec.id].credit -=
         static_cast<double>(spec.task_resources.cpus) / 1000.0 * ToSeconds(tail.median) / 3600.0;
-    StopAttempt(now, task.attempt, task.state, spec.checkpoint > 0 ? spec.save + kSecond : 0);
+    StopAttempt(now, task.attempt, task.state, StopGraceOf(spec));
     SendDirectCommands(now, shard_id, task.state->machine);
   }
 }
--- a/src/core/scheduler/transfer.cc
+++ b/src/core/scheduler/transfer.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "core/core.h"
+#include "core/scheduler/hold_policy.h"
 #include "core/scheduler/plan.h"
 #include "core/scheduler/quota.h"
 
@@ -23,6 +24,23 @@
 constexpr Micros kRecentCommitWindow = 60 * kMillisecond;
 }  // namespace
 
+// Whether the job still waits for a shard with room for more of its tasks, and is not moved once
+// more. Ends with its time without a machine in this shard.
+bool Core::MoveIsHeld(Micros now, const JobExecution& execution) {
+  return MayHold(WaitReason::kOtherShard, now - execution.unplaced_since);
+}
+
+// Whether another shard has enough room for the job to move there. Unused room for one task is
+// enough in the end: the jobs that wait there may leave it unused, as it is too small for them.
+bool Core::HasRoomToMove(Micros now, const JobSpec& spec, const ShardCapacity& capacity,
+                         JobExecution* execution) {
+  if (capacity.placeable_tasks >= std::min(spec.tasks, kEnoughPlaceableTasks)) return true;
+  if (spec.kind == JobKind::kGang || capacity.unused_task_slots == 0) return false;
+  if (!MoveIsHeld(now, *execution)) return true;
+  execution->wait_reason = WaitReason::kOtherShard;
+  return false;
+}
+
 // Moves jobs of which nothing has started, and which find no machine here, to a shard that has
 // room.
 void Core::PlanJobMoves(Micros now, int shard_id, Plan* plan) {
@@ -36,9 +54,9 @@
       continue;
     }
     const JobEntry* job = jobs_.Find(spec.id);
-    if (job == nullptr ||
-        job->record.moves >= (spec.kind == JobKind::kService ? kMaxServiceMoves : kMaxMoves))
-      continue;
+    if (job == nullptr) continue;
+    const int max_moves = spec.kind == JobKind::kService ? kMaxServiceMoves : kMaxMoves;
+    if (job->record.moves >= max_moves && MoveIsHeld(now, *execution)) continue;
     Micros delay = spec.priority == Priority::kProduction ? kProductionJobMoveDelay : kJobMoveDelay;
     if (execution->unplaced_since == 0 || now - execution->unplaced_since < delay) continue;
     // Evaluating all shards is expensive: bounded per job and per cycle.
@@ -64,7 +82,7 @@
     for (int other_id = 0; other_id < settings_.shard_count(); ++other_id) {
       const ShardCapacity& capacity = capacities[static_cast<size_t>(other_id)];
       if (other_id == shard_id || !capacity.has_live_leader ||
-          capacity.placeable_tasks < std::min(spec.tasks, kEnoughPlaceableTasks)) {
+          !HasRoomToMove(now, spec, capacity, execution)) {
         continue;
       }
       if (best < 0 ||
@@ -116,9 +134,12 @@
   }
 }
 
-// Transfers one free machine of another shard for a task without room here.
-bool Core::PlanMachineTransfer(Micros now, int shard_id, Plan* plan, const JobSpec& spec) {
-  if (now < shards_[static_cast<size_t>(shard_id)].cycle.transfers_after) return false;
+// Transfers one free machine of another shard for a task without room here, or tells why there is
+// none.
+WaitReason Core::PlanMachineTransfer(Micros now, int shard_id, Plan* plan, const JobSpec& spec,
+                                     Micros waited) {
+  WaitReason obstacle = WaitReason::kNoRoom;
+  if (now < shards_[static_cast<size_t>(shard_id)].cycle.transfers_after) return obstacle;
   if (!plan->transferable_found) FindTransferableMachines(now, shard_id, plan);
   for (auto it = plan->transferable.begin(); it != plan->transferable.end(); ++it) {
     const auto& [other_id, name] = *it;
@@ -138,7 +159,8 @@
     machine.usable = true;
     if (!Allowed(spec, plan->SpreadOf(spec), machine)) continue;
     // Leave the other shard headroom for its services.
-    if (!assigned.spot && spec.priority != Priority::kProduction) {
+    if (!assigned.spot && spec.priority != Priority::kProduction &&
+        MayHold(WaitReason::kShardHeadroom, waited)) {
       int64_t steady_free = 0;
       for (const auto& [from, other_name] : plan->transferable) {
         if (from != other_id) continue;
@@ -148,6 +170,7 @@
       }
       if (steady_free - type->size.cpus <
           static_cast<int64_t>(1000 * settings_.operator_settings.service_headroom_cpus())) {
+        obstacle = WaitReason::kShardHeadroom;
         continue;
       }
     }
@@ -161,9 +184,9 @@
     plan->MarkChanged(name);
     plan->urgent = true;
     plan->transferable.erase(it);
-    return true;
+    return WaitReason::kNone;
   }
-  return false;
+  return obstacle;
 }
 
 // Transfers unused quota of a team to this shard.
--- a/src/core/scheduler/wait_reason.cc
+++ b/src/core/scheduler/wait_reason.cc
@@ -11,6 +11,8 @@
     case WaitReason::kTeamQuota: return "team_quota";
     case WaitReason::kServiceQuota: return "service_quota";
     case WaitReason::kNoRoom: return "no_room";
+    case WaitReason::kOtherShard: return "other_shard";
+    case WaitReason::kShardHeadroom: return "shard_headroom";
     case WaitReason::kClosedChunk: return "closed_chunk";
     case WaitReason::kPreemption: return "preemption";
     case WaitReason::kProductionPreemption: return "production_preemption";
--- a/src/core/scheduler/wait_reason.h
+++ b/src/core/scheduler/wait_reason.h
@@ -18,6 +18,8 @@
   kTeamQuota,             // the team's limit is used up
   kServiceQuota,          // the rest of the team's limit is reserved for its services
   kNoRoom,                // no machine of the shard that the job may use has room
+  kOtherShard,            // the same, and the job does not move to another shard with room yet
+  kShardHeadroom,         // a free machine of another shard, kept there for its services
   kClosedChunk,           // room on a machine whose record this cycle may not change
   kPreemption,            // room on a machine that is being freed for work of higher priority
   kProductionPreemption,  // the same for production work
@@ -27,7 +29,7 @@
   kImageHeadroom,         // room that is kept free for services where their image is
   kServiceHeadroom,       // room that is kept free for services
 };
-inline constexpr size_t kWaitReasons = 15;
+inline constexpr size_t kWaitReasons = 17;
 
 // As in logs and metrics.
 std::string_view NameOf(WaitReason reason);
--- a/tests/core_units_test.cc
+++ b/tests/core_units_test.cc
@@ -4,6 +4,7 @@
 #include "core/agents/failure_tracker.h"
 #include "core/io/starvation_guard.h"
 #include "core/io/token_bucket.h"
+#include "core/scheduler/hold_policy.h"
 #include "core/scheduler/order.h"
 #include "core/scheduler/placement.h"
 #include "core/scheduler/quota.h"
@@ -188,6 +189,19 @@
   EXPECT_EQ(reason(), WaitReason::kServiceHeadroom);
 }
 
+// Guards against holds without a bound, and bounds that leave no time for the start itself.
+TEST(HoldPolicy, EveryHoldEndsWithTimeToSpare) {
+  constexpr Micros kSpare = 40 * kSecond;  // for a cycle, its commit, an image fetch and the start
+  for (const WaitReason hold :
+       {WaitReason::kServiceQuota, WaitReason::kShardHeadroom, WaitReason::kZoneHeadroom,
+        WaitReason::kImageHeadroom, WaitReason::kServiceHeadroom}) {
+    EXPECT_TRUE(MayHold(hold, 10 * kSecond)) << NameOf(hold);
+    EXPECT_FALSE(MayHold(hold, kMaxWaitBesideRoom - kSpare)) << NameOf(hold);
+  }
+  EXPECT_TRUE(MayHold(WaitReason::kNoRoom, 1000 * kSecond));
+  EXPECT_TRUE(MayHold(WaitReason::kTeamQuota, 1000 * kSecond));
+}
+
 TEST(Quota, SharesAddUpToTheLimit) {
   Team t;
   t.name = "x";
--- a/tests/fake_agent.cc
+++ b/tests/fake_agent.cc
@@ -41,9 +41,7 @@
       if (it == tasks.end()) StartTask(now, job, task_index, attempt);
     } else if (it != tasks.end() && it->second.attempt == attempt) {
       if (verb == "stop" && it->second.state != TaskState::kExited) {
-        it->second.state = TaskState::kExited;
-        it->second.why = ExitReason::kStopped;
-        next_heartbeat = now;
+        Stop(now, FromSeconds(order.value("wind_down_s", 0.0)), &it->second);
       } else if (verb == "reap" && it->second.state == TaskState::kExited) {
         tasks.erase(it);
       }
@@ -51,6 +49,19 @@
   }
 }
 
+void FakeAgent::Stop(Micros now, Micros grace, Task* task) {
+  const bool saves = save_time > 0 && grace >= save_time;
+  if (saves && task->state == TaskState::kSaving) return;
+  if (saves && task->state == TaskState::kRunning) {
+    task->state = TaskState::kSaving;
+    task->ends = now + save_time;
+  } else {
+    task->state = TaskState::kExited;
+    task->why = ExitReason::kStopped;
+  }
+  next_heartbeat = now;
+}
+
 void FakeAgent::StartTask(Micros now, const std::string& job, int task_index, uint64_t attempt) {
   ++starts;
   Task task;
@@ -109,6 +120,11 @@
     if (task.state == TaskState::kFetching && now >= task.ends && now - lease_from <= kAgentLease) {
       BeginRunning(now, key.first, key.second, &task);
     }
+    if (task.state == TaskState::kSaving && now >= task.ends) {
+      task.state = TaskState::kExited;
+      task.why = ExitReason::kStopped;
+      next_heartbeat = std::min(next_heartbeat, now);
+    }
     if (task.state == TaskState::kRunning && task.ends != 0 && now >= task.ends) {
       task.state = TaskState::kExited;
       task.why = ExitReason::kDone;
--- a/tests/fake_agent.h
+++ b/tests/fake_agent.h
@@ -60,6 +60,7 @@
   size_t node = 0;                         // that it sends heartbeats to
   Micros next_heartbeat = 0, lease_from = 0;
   Micros fetch_time = 0;  // duration of an image fetch
+  Micros save_time = 0;   // that a task with checkpoints needs when it is stopped
   bool reporting = false;
   int starts = 0;  // executed start commands
   // Called when a task starts to run.
@@ -70,6 +71,8 @@
   const std::set<std::string>* failing_jobs = nullptr;
 
  private:
+  // Stops a task, which first writes a checkpoint if `grace` allows it.
+  void Stop(Micros now, Micros grace, Task* task);
   void StartTask(Micros now, const std::string& job, int task_index, uint64_t attempt);
   void BeginRunning(Micros now, const std::string& job, int task_index, Task* task);
 };
