--- a/src/core/scheduler/placer.cc
+++ b/src/core/scheduler/placer.cc
@@ -243,8 +243,7 @@
 // Without a bound, the reservations of several shards could block a job whose team is under its
 // limit.
 QuotaShare Core::Placer::ReservedQuota(const Job& job) const {
-  if (job.spec.kind == JobKind::kArray && !MayHold(WaitReason::kServiceQuota, job.waited))
-    return QuotaShare();
+  if (!MayHold(WaitReason::kServiceQuota, job.waited)) return QuotaShare();
   return core_.QuotaReservedForServices(job.spec, job.team);
 }
 
--- a/tests/hold_bounds_test.cc
+++ b/tests/hold_bounds_test.cc
@@ -199,5 +199,40 @@
   EXPECT_NO_VIOLATIONS(world);
 }
 
+// Guards against services below production priority that wait for quota reserved for services.
+TEST(HoldBounds, ServiceOfLowerPriorityGetsTheQuotaReservedForServices) {
+  World world(3, [](Json* facts) { (*facts)["teams"][0]["cpus_max"] = 24.0; });
+  world.Run(kStartupTime);
+  JobSpec production = World::Service("job-5", 4);
+  production.team = "red";
+  SubmitUntilAccepted(world, 0, production);
+  ASSERT_TRUE(world.RunUntil([&] { return world.CountTasks("job-5") == 4; }, 40 * kSecond));
+  JobSpec standard = World::Service("job-6", 8);  // the rest of the limit
+  standard.team = "red";
+  standard.priority = Priority::kNormal;
+  SubmitUntilAccepted(world, 0, standard);
+  EXPECT_TRUE(world.RunUntil([&] { return world.CountTasks("job-6") == 8; }, kMostWaiting));
+  EXPECT_NO_VIOLATIONS(world);
+}
+
+// Guards against gangs that wait for quota reserved for services.
+TEST(HoldBounds, GangGetsTheQuotaReservedForServices) {
+  World world(3, [](Json* facts) { (*facts)["teams"][0]["cpus_max"] = 12.0; });
+  world.Run(kStartupTime);
+  JobSpec service = World::Service("job-5", 1);  // from now on the team reserves quota
+  service.team = "red";
+  SubmitUntilAccepted(world, 0, service);
+  ASSERT_TRUE(world.RunUntil([&] { return world.CountTasks("job-5") == 1; }, 40 * kSecond));
+  world.SendUntilFinal(0, "POST", "/api/jobs/job-5/abort");
+  ASSERT_TRUE(world.RunUntil([&] { return world.CountTasks("job-5") == 0; }, 10 * kSecond));
+  JobSpec gang = Array("job-1", 2, 4);  // the shares of two of three shards
+  gang.kind = JobKind::kGang;
+  gang.team = "red";
+  world.SetRunTime("job-1", kEndless);
+  SubmitUntilAccepted(world, 0, gang);
+  EXPECT_TRUE(world.RunUntil([&] { return world.CountTasks("job-1") == 2; }, kMostWaiting));
+  EXPECT_NO_VIOLATIONS(world);
+}
+
 }  // namespace
 }  // namespace troutlink::test
