Scheduler: tail and reserved machines are held for a bounded time

Callers would see a job wait for good beside a machine whose tasks of another array's tail run on, or beside the machine that is reserved for a job that has waited starve_s and never fits it, or beside room that is freed, cycle after cycle, for arrays of higher priority.

Cause: none of these holds had a bound in time. Change: all three end by the hold policy. Room freed for production work stays held: it ends with the exit of the preempted tasks.

--- a/src/core/scheduler/hold_policy.cc
+++ b/src/core/scheduler/hold_policy.cc
@@ -15,6 +15,9 @@
 std::optional<Micros> BoundOf(WaitReason reason) {
   switch (reason) {
     case WaitReason::kServiceQuota: return kMaxServiceQuotaHold;
+    case WaitReason::kPreemption:
+    case WaitReason::kTailMachine:
+    case WaitReason::kReservedMachine:
     case WaitReason::kZoneHeadroom:
     case WaitReason::kImageHeadroom:
     case WaitReason::kServiceHeadroom:
@@ -22,9 +25,6 @@
     case WaitReason::kProductionPreemption:  // ends when the preempted tasks have exited
     case WaitReason::kClosedChunk:           // a later cycle may change it
     case WaitReason::kOtherShard:
-    case WaitReason::kPreemption:
-    case WaitReason::kTailMachine:
-    case WaitReason::kReservedMachine:
     case WaitReason::kNone:
     case WaitReason::kCycleLimit:
     case WaitReason::kStartBackoff:
--- a/tests/core_units_test.cc
+++ b/tests/core_units_test.cc
@@ -193,7 +193,8 @@
 TEST(HoldPolicy, EveryHoldEndsWithTimeToSpare) {
   constexpr Micros kSpare = 40 * kSecond;  // for a cycle, its commit, an image fetch and the start
   for (const WaitReason hold :
-       {WaitReason::kServiceQuota, WaitReason::kShardHeadroom, WaitReason::kZoneHeadroom,
+       {WaitReason::kServiceQuota, WaitReason::kShardHeadroom, WaitReason::kPreemption,
+        WaitReason::kTailMachine, WaitReason::kReservedMachine, WaitReason::kZoneHeadroom,
         WaitReason::kImageHeadroom, WaitReason::kServiceHeadroom}) {
     EXPECT_TRUE(MayHold(hold, 10 * kSecond)) << NameOf(hold);
     EXPECT_FALSE(MayHold(hold, kMaxWaitBesideRoom - kSpare)) << NameOf(hold);
@@ -202,6 +203,31 @@
   EXPECT_TRUE(MayHold(WaitReason::kTeamQuota, 1000 * kSecond));
 }
 
+// Guards against jobs in a queue that take a reserved machine at its first moment.
+TEST(HoldPolicy, AHoldThatJustBeganBindsJobsThatHaveWaited) {
+  EXPECT_TRUE(MayHold(WaitReason::kReservedMachine, {500 * kSecond, kSecond}));
+  EXPECT_TRUE(MayHold(WaitReason::kReservedMachine, {kSecond, 500 * kSecond}));
+  EXPECT_FALSE(MayHold(WaitReason::kReservedMachine, {kMaxHold, kMaxHold}));
+}
+
+// Guards against low-priority work that waits for ever beside room freed for other arrays, and
+// against its taking room that is being freed for production work.
+TEST(HoldPolicy, RoomFreedForArraysIsHeldForABoundedTime) {
+  JobSpec s = Spec(1);
+  const JobSpread spread;
+  std::vector<CandidateMachine> machines = {Machine("a", "z1", false)};
+  PlacementRequest r;
+  r.spec = &s;
+  r.spread = &spread;
+  auto choose = [&] { return ChooseMachine(r, machines, CandidateIndex({}, &machines)).machine; };
+  machines[0].min_priority = Priority::kHigh;
+  EXPECT_EQ(choose(), -1);
+  r.waited = kMaxHold;
+  EXPECT_EQ(choose(), 0);
+  machines[0].min_priority = Priority::kProduction;
+  EXPECT_EQ(choose(), -1);
+}
+
 TEST(Quota, SharesAddUpToTheLimit) {
   Team t;
   t.name = "x";
--- a/tests/hold_bounds_test.cc
+++ b/tests/hold_bounds_test.cc
@@ -199,6 +199,46 @@
   EXPECT_NO_VIOLATIONS(world);
 }
 
+// Guards against narrow jobs that wait beside a machine reserved for a job that never fits it.
+TEST(HoldBounds, NarrowJobGetsAMachineThatIsReservedForAWideOne) {
+  FixedFleet world;
+  world.AddMachine(0, false);
+  world.Run(kStartupTime);
+  world.Place(World::Service("job-5", 1), 1);
+  world.Accept(Array("job-1", 1, 16));
+  world.Run(FromSeconds(world.settings.operator_settings.starve_s()) + 10 * kSecond);
+  world.Accept(Array("job-2", 1, 4));
+  EXPECT_TRUE(world.StartsInTime("job-2"));
+  EXPECT_NO_VIOLATIONS(world);
+}
+
+// Guards against jobs that wait beside a machine rented for another array's tail.
+TEST(HoldBounds, JobGetsTheRoomOfATailMachineInTime) {
+  FixedFleet world;
+  for (int i = 0; i < 9; ++i) world.AddMachine(0, true);
+  FakeAgent& slow = world.AddMachine(0, true);
+  world.Run(kStartupTime);
+  world.SetRunTime("job-1", 5 * kSecond);
+  slow.run_time["job-1"] = kEndless;
+  SubmitUntilAccepted(world, 0, Array("job-1", 20, 6));  // two tasks a machine
+  world.run_time["job-1"] = kEndless;
+  world.cloud.capacity = 1;
+  auto tail_machine = [&]() -> FakeAgent* {
+    for (auto& [name, agent] : world.agents) {
+      if (!agent->spot && agent->Has("job-1")) return agent.get();
+    }
+    return nullptr;
+  };
+  ASSERT_TRUE(world.RunUntil([&] { return tail_machine() != nullptr; }, 60 * kSecond));
+  world.cloud.capacity = 0;
+  JobSpec waiting = SavingArray("job-2", 1, 4);
+  waiting.spot = false;
+  world.Accept(waiting);
+  EXPECT_TRUE(world.StartsInTime("job-2"));
+  EXPECT_TRUE(tail_machine() != nullptr && tail_machine()->Has("job-2"));
+  EXPECT_NO_VIOLATIONS(world);
+}
+
 // Guards against services below production priority that wait for quota reserved for services.
 TEST(HoldBounds, ServiceOfLowerPriorityGetsTheQuotaReservedForServices) {
   World world(3, [](Json* facts) { (*facts)["teams"][0]["cpus_max"] = 24.0; });
