Scheduler: a job moves to a shard with room for one task in time

Callers would see a job wait for good in a full shard while another one has room for one of its tasks: a job of which nothing has started moves only where min(its tasks, 8) fit beside the backlog there, and at most six times (services twice).

Cause: neither condition had a bound in time.

--- a/src/core/scheduler/hold_policy.cc
+++ b/src/core/scheduler/hold_policy.cc
@@ -21,10 +21,10 @@
     case WaitReason::kZoneHeadroom:
     case WaitReason::kImageHeadroom:
     case WaitReason::kServiceHeadroom:
-    case WaitReason::kShardHeadroom: return kMaxHold;
+    case WaitReason::kShardHeadroom:
+    case WaitReason::kOtherShard: return kMaxHold;
     case WaitReason::kProductionPreemption:  // ends when the preempted tasks have exited
     case WaitReason::kClosedChunk:           // a later cycle may change it
-    case WaitReason::kOtherShard:
     case WaitReason::kNone:
     case WaitReason::kCycleLimit:
     case WaitReason::kStartBackoff:
--- a/tests/core_units_test.cc
+++ b/tests/core_units_test.cc
@@ -193,9 +193,9 @@
 TEST(HoldPolicy, EveryHoldEndsWithTimeToSpare) {
   constexpr Micros kSpare = 40 * kSecond;  // for a cycle, its commit, an image fetch and the start
   for (const WaitReason hold :
-       {WaitReason::kServiceQuota, WaitReason::kShardHeadroom, WaitReason::kPreemption,
-        WaitReason::kTailMachine, WaitReason::kReservedMachine, WaitReason::kZoneHeadroom,
-        WaitReason::kImageHeadroom, WaitReason::kServiceHeadroom}) {
+       {WaitReason::kServiceQuota, WaitReason::kOtherShard, WaitReason::kShardHeadroom,
+        WaitReason::kPreemption, WaitReason::kTailMachine, WaitReason::kReservedMachine,
+        WaitReason::kZoneHeadroom, WaitReason::kImageHeadroom, WaitReason::kServiceHeadroom}) {
     EXPECT_TRUE(MayHold(hold, 10 * kSecond)) << NameOf(hold);
     EXPECT_FALSE(MayHold(hold, kMaxWaitBesideRoom - kSpare)) << NameOf(hold);
   }
--- a/tests/hold_bounds_test.cc
+++ b/tests/hold_bounds_test.cc
@@ -274,5 +274,22 @@
   EXPECT_NO_VIOLATIONS(world);
 }
 
+// Guards against a job that waits for a shard with room for all its tasks.
+TEST(HoldBounds, JobMovesToAShardWithRoomForOneOfItsTasks) {
+  FixedFleet world;
+  world.AddMachine(0, true);
+  world.AddMachine(1, true);
+  world.Run(kStartupTime);
+  world.Place(Array(world.IdFor(0), 2, 8), 2);
+  world.Place(Array(world.IdFor(1), 1, 8), 1);
+  const std::string short_job = world.IdFor(1);
+  world.Place(Array(short_job, 1, 8), 1, 20 * kSecond);
+  const std::string waiting = world.IdFor(0);
+  world.Accept(SavingArray(waiting, 3, 8));
+  ASSERT_TRUE(world.RunUntil([&] { return world.CountTasks(short_job) == 0; }, 30 * kSecond));
+  EXPECT_TRUE(world.StartsInTime(waiting));
+  EXPECT_NO_VIOLATIONS(world);
+}
+
 }  // namespace
 }  // namespace troutlink::test
