--- a/tests/hold_bounds_test.cc
+++ b/tests/hold_bounds_test.cc
@@ -34,7 +34,7 @@
   // An id that equal shards assign to this one.
   std::string IdFor(int shard_id) {
     for (;;) {
-      const std::string id = "job-" + std::to_string(next_id_++);
+      std::string id = "job-" + std::to_string(next_id_++);
       if (static_cast<int>(StableHash(id) % 3) == shard_id) return id;
     }
   }
