Scheduler: hold freed room for arrays long enough to use it

Change: as with reserved machines, the hold ends only when the machine has been freed for 45 s as well, with breaks of up to 5 s. Preemption takes some seconds.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -322,6 +322,8 @@
     Micros unschedulable_until = 0;  // after a start refused for lack of room
     Micros reserved_since = 0;       // for jobs that have waited too long, with short breaks
     Micros last_reserved_at = 0;     // last cycle in which it was reserved
+    Micros freed_since = 0;          // room on it is being freed for arrays, with short breaks
+    Micros last_freed_at = 0;        // last cycle in which it was
     uint64_t assigned_epoch = 0;     // epoch under which it was assigned to this shard
     int last_shard = -1;             // that it was assigned to
     bool consolidating = false;      // being drained by consolidation
@@ -556,6 +558,7 @@
                    size_t index);
   std::optional<Priority> LowestPlacedPriority(int shard_id) const;
   void PlanPreemption(Micros now, int shard_id, Plan* plan, const JobSpec& spec, int tasks);
+  void HoldFreedRoom(Micros now, const JobSpec& spec, CandidateMachine* machine);
   WaitReason PlanMachineTransfer(Micros now, int shard_id, Plan* plan, const JobSpec& spec,
                                  Micros waited);
   bool PlanQuotaTransfer(Micros now, int shard_id, Plan* plan, const Team& team,
--- a/src/core/scheduler/placement.cc
+++ b/src/core/scheduler/placement.cc
@@ -162,7 +162,7 @@
     const HoldTimes times{request_.waited, machine.held};
     if (spec_.priority < machine.min_priority) {
       if (machine.min_priority == Priority::kProduction) return WaitReason::kProductionPreemption;
-      if (Holds(WaitReason::kPreemption)) return WaitReason::kPreemption;
+      if (MayHold(WaitReason::kPreemption, times)) return WaitReason::kPreemption;
     }
     if (!machine.tail_job.empty() && machine.tail_job != spec_.id &&
         MayHold(WaitReason::kTailMachine, times)) {
--- a/src/core/scheduler/placement.h
+++ b/src/core/scheduler/placement.h
@@ -22,7 +22,7 @@
   bool spot = false;
   bool usable = false;        // heard from recently, not draining, not quarantined
   bool reserved = false;      // for a job that has waited too long; not usable in this cycle
-  Micros held = 0;            // how long it has been held back as a tail or reserved machine
+  Micros held = 0;            // how long it has been held: for a tail, reserved, or being freed
   bool chunk_closed = false;  // its chunk of the assignment table cannot change in this cycle
   // Work of lower priority is kept off: capacity is being freed for work of this priority.
   Priority min_priority = Priority::kLow;
--- a/src/core/scheduler/preemption.cc
+++ b/src/core/scheduler/preemption.cc
@@ -12,6 +12,8 @@
 // Bounds the preemptions of one task by arrays, so that it makes progress.
 constexpr int kMaxPreemptionsPerTask = 2;
 constexpr Micros kMinRemainingTime = 10 * kSecond;
+// Time without a hold on a machine's freed room after which the next hold is a new one.
+constexpr Micros kFreedRoomBreak = 5 * kSecond;
 
 // Cost of stopping a task now: the work to repeat, or the time to write a checkpoint.
 Micros PreemptionCost(Micros now, Micros running_at, const JobSpec& spec) {
@@ -158,7 +160,7 @@
     const int reserved = std::min(tasks, TasksThatFit(spec, preemptible->available));
     for (int i = 0; i < reserved; ++i) preemptible->available -= spec.task_resources;
     tasks -= reserved;
-    if (reserved > 0) machine->min_priority = std::max(machine->min_priority, spec.priority);
+    if (reserved > 0) HoldFreedRoom(now, spec, machine);
   };
   std::vector<Choice> choices;
   for (CandidateMachine& machine : plan->machines) {
@@ -194,6 +196,18 @@
   }
 }
 
+// Keeps work of lower priority off a machine that is being freed for `spec`. Against work that has
+// waited long this ends after a time, so that it is not held off by one array after the other. It
+// must not end sooner: such work would refill the room before the array's task fits.
+void Core::HoldFreedRoom(Micros now, const JobSpec& spec, CandidateMachine* machine) {
+  machine->min_priority = std::max(machine->min_priority, spec.priority);
+  AgentState& agent = machines_[machine->name];
+  if (agent.freed_since == 0 || now - agent.last_freed_at > kFreedRoomBreak)
+    agent.freed_since = now;
+  agent.last_freed_at = now;
+  machine->held = now - agent.freed_since;
+}
+
 // Stops one task for a task of `spec`. Production work gets headroom that was lent back at once:
 // the task repeats its work since its last checkpoint.
 void Core::PreemptTask(Micros now, Plan* plan, const JobSpec& spec, Preemptible* preemptible,
--- a/tests/core_units_test.cc
+++ b/tests/core_units_test.cc
@@ -222,7 +222,10 @@
   auto choose = [&] { return ChooseMachine(r, machines, CandidateIndex({}, &machines)).machine; };
   machines[0].min_priority = Priority::kHigh;
   EXPECT_EQ(choose(), -1);
+  // Not at once, or low-priority work that waits would refill the room before a task fits.
   r.waited = kMaxHold;
+  EXPECT_EQ(choose(), -1);
+  machines[0].held = kMaxHold;
   EXPECT_EQ(choose(), 0);
   machines[0].min_priority = Priority::kProduction;
   EXPECT_EQ(choose(), -1);
